--- /dev/null
+++ b/internal/cmds/cmd_preset_switch.go
@@ -0,0 +1,30 @@
+package cmds
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func cmdPresetSwitch() command {
+	return command{
+		name: "preset switch",
+		help: "Put another declared preset in force.",
+		setup: func(clause *kingpin.CmdClause) action {
+			c := newClient(clause)
+			change := newChange(clause)
+			name := clause.Arg("name", "Name of the preset.").Required().String()
+
+			return func(context.Context) error {
+				request, err := change.request(c)
+				if err != nil {
+					return err
+				}
+
+				request.Preset = *name
+
+				return sendChange(c, "/v1/preset", request)
+			}
+		},
+	}
+}
--- /dev/null
+++ b/internal/cmds/cmd_store_init.go
@@ -0,0 +1,46 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cranberrymill/cranberrymill/internal/store"
+)
+
+func cmdStoreInit() command {
+	return command{
+		name: "store init",
+		help: "Begin the control log on this VM, once for the whole system; the other voters join it.",
+		setup: func(clause *kingpin.CmdClause) action {
+			path := settingsFlag(clause)
+
+			return func(context.Context) error {
+				settings, err := loadSettings(*path)
+				if err != nil {
+					return err
+				}
+
+				s, err := store.New(settings)
+				if err != nil {
+					return err
+				}
+
+				begun, err := s.Init()
+				if err != nil {
+					return err
+				}
+
+				if !begun {
+					return merry.Prepend(errRefused, "the data folder holds a control log already, nothing was changed")
+				}
+
+				fmt.Println("the control log has begun; run the stores now")
+
+				return nil
+			}
+		},
+	}
+}
--- /dev/null
+++ b/internal/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the subcommands of cranberrymill, one file each.
+package cmds
--- /dev/null
+++ b/internal/cmds/main.go
@@ -0,0 +1,99 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// The exit codes of the program.
+const (
+	exitOK      = 0
+	exitRefused = 1
+	exitUsage   = 2
+)
+
+// errRefused means that the system has understood a request and refused it.
+var errRefused = merry.Sentinel("refused")
+
+// version is the text of the version file.
+var version string
+
+// Main runs the subcommand that the arguments name and returns the exit code.
+func Main(release string, arguments []string) int {
+	version = strings.TrimSpace(release)
+
+	// Errors are told to a person in one line, so their stacks would only cost time.
+	merry.SetStackCaptureEnabled(false)
+
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+
+	return report(os.Stderr, dispatch(ctx, arguments))
+}
+
+func dispatch(ctx context.Context, arguments []string) error {
+	application := kingpin.New("cranberrymill", "Schedules services, batch runs, all-at-once jobs and handover jobs.")
+	application.Version(version)
+	application.HelpFlag.Short('h')
+
+	actions := build(application)
+
+	selected, err := application.Parse(arguments)
+	if err != nil {
+		return merry.Prependf(mill.ErrInvalid, "%v, try --help", err)
+	}
+
+	return actions[selected](ctx)
+}
+
+// build enters the table into the application and returns the actions by full name.
+func build(application *kingpin.Application) map[string]action {
+	actions := make(map[string]action)
+	parents := make(map[string]*kingpin.CmdClause)
+
+	for _, c := range table() {
+		group, name, nested := strings.Cut(c.name, " ")
+		if !nested {
+			clause := application.Command(group, c.help)
+			actions[c.name] = c.setup(clause)
+			parents[group] = clause
+
+			continue
+		}
+
+		if parents[group] == nil {
+			parents[group] = application.Command(group, groups()[group])
+		}
+
+		actions[c.name] = c.setup(parents[group].Command(name, c.help))
+	}
+
+	return actions
+}
+
+// report writes an error as one line and returns the exit code for it.
+func report(output io.Writer, err error) int {
+	if err == nil || errors.Is(err, context.Canceled) {
+		return exitOK
+	}
+
+	line := strings.ReplaceAll(err.Error(), "\n", "; ")
+	_, _ = fmt.Fprintln(output, "cranberrymill: "+line)
+
+	if errors.Is(err, mill.ErrInvalid) || errors.Is(err, mill.ErrLocked) {
+		return exitUsage
+	}
+
+	return exitRefused
+}
--- /dev/null
+++ b/internal/cmds/settings.go
@@ -0,0 +1,47 @@
+package cmds
+
+import (
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/ansel1/merry/v2"
+	"github.com/phuslu/log"
+
+	"github.com/cranberrymill/cranberrymill/internal/conf"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+func settingsFlag(clause *kingpin.CmdClause) *string {
+	return clause.Flag("settings", "Settings file of this VM.").Required().String()
+}
+
+// loadSettings reads settings and puts in force what concerns the whole process.
+func loadSettings(path string) (*conf.Settings, error) {
+	settings, err := conf.Load(path)
+	if err != nil {
+		return nil, err
+	}
+
+	return settings, setLogs(settings)
+}
+
+func setLogs(settings *conf.Settings) error {
+	if err := os.MkdirAll(settings.DataFolder, 0o750); err != nil {
+		return folderError(settings.DataFolder, err)
+	}
+
+	log.DefaultLogger = log.Logger{
+		Level:      log.ParseLevel(settings.LogLevel),
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Writer:     &log.IOWriter{Writer: os.Stderr},
+	}
+
+	debug.SetMemoryLimit(settings.Limits.MemoryMiB << 20)
+
+	return nil
+}
+
+func folderError(folder string, err error) error {
+	return merry.Prependf(mill.ErrInvalid, "dataFolder %q: want a folder that can be written: %v", folder, err)
+}
--- /dev/null
+++ b/internal/conf/cluster.go
@@ -0,0 +1,202 @@
+package conf
+
+import (
+	"net"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// Cluster is the map of the data centres and the VMs that run the system.
+type Cluster struct {
+	DataCentres []DataCentre `json:"dataCentres"`
+}
+
+// DataCentre is one data centre with its entry VMs.
+type DataCentre struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	VMs    []VM   `json:"vms"`
+}
+
+// VM is one entry VM; an address that is empty means that the role does not run there.
+type VM struct {
+	Name    string `json:"name"`
+	HTTP    string `json:"http"`
+	Entry   string `json:"entry"`
+	Store   string `json:"store"`
+	Sched   string `json:"sched"`
+	Voter   bool   `json:"voter"`
+	Durable bool   `json:"durable"`
+
+	dataCentre string
+	region     string
+}
+
+// DataCentre returns the name of the VM's data centre.
+func (v *VM) DataCentre() string {
+	return v.dataCentre
+}
+
+// Region returns the name of the VM's region.
+func (v *VM) Region() string {
+	return v.region
+}
+
+// VMs returns all VMs with their data centres.
+func (c *Cluster) VMs() []VM {
+	var all []VM
+
+	for _, dataCentre := range c.DataCentres {
+		for _, vm := range dataCentre.VMs {
+			vm.dataCentre = dataCentre.Name
+			vm.region = dataCentre.Region
+			all = append(all, vm)
+		}
+	}
+
+	return all
+}
+
+// In returns the VMs of a data centre.
+func (c *Cluster) In(dataCentre string) []VM {
+	var found []VM
+
+	for _, vm := range c.VMs() {
+		if vm.dataCentre == dataCentre {
+			found = append(found, vm)
+		}
+	}
+
+	return found
+}
+
+// Find returns the VM of that name.
+func (c *Cluster) Find(name string) (VM, bool) {
+	for _, vm := range c.VMs() {
+		if vm.Name == name {
+			return vm, true
+		}
+	}
+
+	return VM{}, false
+}
+
+// Names returns the names of all VMs.
+func (c *Cluster) Names() []string {
+	var names []string
+
+	for _, vm := range c.VMs() {
+		names = append(names, vm.Name)
+	}
+
+	return names
+}
+
+// Stores returns the addresses of the copies of each data centre's ledger.
+func (c *Cluster) Stores() map[string][]string {
+	stores := make(map[string][]string)
+
+	for _, vm := range c.VMs() {
+		if vm.Store != "" {
+			stores[vm.dataCentre] = append(stores[vm.dataCentre], vm.Store)
+		}
+	}
+
+	return stores
+}
+
+// Voters returns the addresses of the control log's voters: that of the VM
+// itself first, then its data centre's, its region's, and the others.
+func (c *Cluster) Voters(near VM) []string {
+	var own, dataCentre, region, far []string
+
+	for _, vm := range c.VMs() {
+		switch {
+		case !vm.Voter:
+		case vm.Name == near.Name:
+			own = append(own, vm.Store)
+		case vm.dataCentre == near.dataCentre:
+			dataCentre = append(dataCentre, vm.Store)
+		case vm.region == near.region:
+			region = append(region, vm.Store)
+		default:
+			far = append(far, vm.Store)
+		}
+	}
+
+	return append(append(append(own, dataCentre...), region...), far...)
+}
+
+// Validate returns mill.ErrInvalid naming the first field that is out of range.
+func (c *Cluster) Validate() error {
+	if len(c.DataCentres) == 0 {
+		return merry.Prepend(mill.ErrInvalid, "dataCentres []: want at least one")
+	}
+
+	names := make(map[string]bool)
+	voters := 0
+
+	for _, vm := range c.VMs() {
+		if err := vm.validate(names); err != nil {
+			return err
+		}
+
+		if vm.Voter {
+			voters++
+		}
+	}
+
+	if voters != 1 && voters != 3 && voters != 5 {
+		return merry.Prependf(mill.ErrInvalid, "voter: %d VMs are voters: want 1, 3 or 5", voters)
+	}
+
+	return nil
+}
+
+func (v *VM) validate(names map[string]bool) error {
+	if err := mill.ValidName("vms.name", v.Name); err != nil {
+		return err
+	}
+
+	if err := mill.ValidName("dataCentres.name", v.dataCentre); err != nil {
+		return err
+	}
+
+	if names[v.Name] {
+		return merry.Prependf(mill.ErrInvalid, "vms.name %q: named twice", v.Name)
+	}
+
+	names[v.Name] = true
+
+	if v.Voter && (v.Store == "" || !v.Durable) {
+		return merry.Prependf(mill.ErrInvalid, "vms.%s.voter true: want a store address and durable true", v.Name)
+	}
+
+	return v.validateAddresses()
+}
+
+func (v *VM) validateAddresses() error {
+	addresses := []struct {
+		name, value string
+		optional    bool
+	}{
+		{"http", v.HTTP, false},
+		{"entry", v.Entry, false},
+		{"store", v.Store, true},
+		{"sched", v.Sched, true},
+	}
+
+	for _, address := range addresses {
+		if address.value == "" && address.optional {
+			continue
+		}
+
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			return merry.Prependf(mill.ErrInvalid, "vms.%s.%s %q: want host:port", v.Name, address.name, address.value)
+		}
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/conf/settings.go
@@ -0,0 +1,143 @@
+package conf
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// Settings is what one VM's processes are told at start.
+type Settings struct {
+	VM         string `json:"vm"`
+	Cluster    string `json:"cluster"`
+	DataFolder string `json:"dataFolder"`
+	LogLevel   string `json:"logLevel"`
+	Limits     Limits `json:"limits"`
+
+	cluster *Cluster
+}
+
+// Limits bounds what a process takes on.
+type Limits struct {
+	BodyBytes            int   `json:"bodyBytes"`
+	AnswerBytes          int   `json:"answerBytes"`
+	RecordedBytes        int   `json:"recordedBytes"`
+	RingCapacity         int   `json:"ringCapacity"`
+	Workers              int   `json:"workers"`
+	DefaultDeadlineMilli int64 `json:"defaultDeadlineMilli"`
+	LateAnswerMilli      int64 `json:"lateAnswerMilli"`
+	DrainMilli           int64 `json:"drainMilli"`
+	LeaseMilli           int64 `json:"leaseMilli"`
+	MemoryMiB            int64 `json:"memoryMiB"`
+}
+
+// Default returns the settings that hold where a file says nothing.
+func Default() *Settings {
+	return &Settings{
+		DataFolder: "data",
+		LogLevel:   "info",
+		Limits: Limits{
+			BodyBytes:            4 << 20,
+			AnswerBytes:          16 << 20,
+			RecordedBytes:        64 << 10,
+			RingCapacity:         1024,
+			Workers:              4096,
+			DefaultDeadlineMilli: 30_000,
+			LateAnswerMilli:      60_000,
+			DrainMilli:           15_000,
+			LeaseMilli:           3_000,
+			MemoryMiB:            256,
+		},
+	}
+}
+
+// Map returns the map of the cluster.
+func (s *Settings) Map() *Cluster {
+	return s.cluster
+}
+
+// SetMap sets the map of the cluster where there is no file of it.
+func (s *Settings) SetMap(cluster *Cluster) {
+	s.cluster = cluster
+}
+
+// DefaultDeadline returns the time that a request has when its caller names none.
+func (l *Limits) DefaultDeadline() time.Duration {
+	return time.Duration(l.DefaultDeadlineMilli) * time.Millisecond
+}
+
+// LateAnswer returns how long an answer is waited for after its deadline.
+func (l *Limits) LateAnswer() time.Duration {
+	return time.Duration(l.LateAnswerMilli) * time.Millisecond
+}
+
+// Drain returns how long a planned stop may take.
+func (l *Limits) Drain() time.Duration {
+	return time.Duration(l.DrainMilli) * time.Millisecond
+}
+
+// Lease returns how long a worker may run its tasks after a heartbeat.
+func (l *Limits) Lease() time.Duration {
+	return time.Duration(l.LeaseMilli) * time.Millisecond
+}
+
+// Validate returns mill.ErrInvalid naming the first field that is out of range.
+func (s *Settings) Validate() error {
+	if err := s.cluster.Validate(); err != nil {
+		return err
+	}
+
+	if _, ok := s.cluster.Find(s.VM); !ok {
+		return merry.Prependf(mill.ErrInvalid, "vm %q: want one of %q", s.VM, s.cluster.Names())
+	}
+
+	if s.DataFolder == "" {
+		return merry.Prepend(mill.ErrInvalid, "dataFolder \"\": want a path")
+	}
+
+	if !validLevel(s.LogLevel) {
+		return merry.Prependf(mill.ErrInvalid, "logLevel %q: want debug, info, warn or error", s.LogLevel)
+	}
+
+	return s.Limits.validate()
+}
+
+func validLevel(level string) bool {
+	switch level {
+	case "debug", "info", "warn", "error":
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *Limits) validate() error {
+	ranges := []struct {
+		name     string
+		value    int64
+		min, max int64
+	}{
+		{"bodyBytes", int64(l.BodyBytes), 1, 1 << 30},
+		{"answerBytes", int64(l.AnswerBytes), 1, 1 << 30},
+		{"recordedBytes", int64(l.RecordedBytes), 0, 1 << 20},
+		{"ringCapacity", int64(l.RingCapacity), 1, 1 << 20},
+		{"workers", int64(l.Workers), 1, 1 << 20},
+		{"defaultDeadlineMilli", l.DefaultDeadlineMilli, 1, 3_600_000},
+		{"lateAnswerMilli", l.LateAnswerMilli, 0, 3_600_000},
+		{"drainMilli", l.DrainMilli, 0, 600_000},
+		{"leaseMilli", l.LeaseMilli, 500, 60_000},
+		{"memoryMiB", l.MemoryMiB, 16, 1 << 20},
+	}
+
+	for _, r := range ranges {
+		if r.value < r.min || r.value > r.max {
+			return merry.Prepend(mill.ErrInvalid,
+				fmt.Sprintf("limits.%s %d: want %d to %d", r.name, r.value, r.min, r.max))
+		}
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/entry/jobs_api.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cranberrymill/cranberrymill/internal/conf"
+	"github.com/cranberrymill/cranberrymill/internal/httpd"
+	"github.com/cranberrymill/cranberrymill/internal/ledger"
+	"github.com/cranberrymill/cranberrymill/internal/sched"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+const (
+	jobTime    = 10 * time.Second
+	jobIDBytes = 8
+	jobsLimit  = 1000
+)
+
+// JobReply is a job with its state in one word.
+type JobReply struct {
+	mill.Job
+
+	State mill.TaskState `json:"state"`
+}
+
+func (e *Entry) postJob(ctx *fasthttp.RequestCtx, _ string) {
+	var spec mill.JobSpec
+
+	if err := conf.DecodeJSON(ctx.PostBody(), &spec); err != nil {
+		httpd.WriteError(ctx, err)
+
+		return
+	}
+
+	if err := spec.Validate(); err != nil {
+		httpd.WriteError(ctx, err)
+
+		return
+	}
+
+	key := string(ctx.Request.Header.Peek(mill.HeaderIdempotencyKey))
+	if err := mill.ValidName(mill.HeaderIdempotencyKey, key); err != nil {
+		httpd.WriteError(ctx, err)
+
+		return
+	}
+
+	home := e.jobHome(spec.Team)
+	id := jobID(home, spec.Team, key)
+
+	if _, err := e.writeJob(home, ledger.Command{Submit: &ledger.Submit{ID: id, Spec: spec}}); err != nil {
+		httpd.WriteError(ctx, err)
+
+		return
+	}
+
+	httpd.WriteJSON(ctx, fasthttp.StatusAccepted, Accepted{ID: id})
+}
+
+func (e *Entry) getJob(ctx *fasthttp.RequestCtx, rest string) {
+	id, explain := strings.CutSuffix(rest, "/explain")
+	if explain {
+		e.explainJob(ctx, id)
+
+		return
+	}
+
+	limit, cancel := context.WithTimeout(e.ctx, jobTime)
+	defer cancel()
+
+	reply, err := e.ledgers.Find(limit, homeOf(id), id)
+	if err == nil && !reply.Found {
+		err = merry.Prependf(mill.ErrNotFound, "job %q", id)
+	}
+
+	if err != nil {
+		httpd.WriteError(ctx, err)
+
+		return
+	}
+
+	httpd.WriteJSON(ctx, fasthttp.StatusOK, JobReply{Job: reply.Job, State: reply.Job.State()})
+}
+
+func (e *Entry) explainJob(ctx *fasthttp.RequestCtx, id string) {
+	reply, err := askSched[sched.ExplainRequest, sched.ExplainReply](
+		e, sched.MethodExplain, &sched.ExplainRequest{Job: id})
+	if err != nil {
+		httpd.WriteError(ctx, err)
+
+		return
+	}
+
+	httpd.WriteJSON(ctx, fasthttp.StatusOK, reply)
+}
+
+// getJobs lists the jobs of every data centre that answers.
+func (e *Entry) getJobs(ctx *fasthttp.RequestCtx, _ string) {
+	limit, cancel := context.WithTimeout(e.ctx, jobTime)
+	defer cancel()
+
+	jobs := []JobReply{}
+
+	for _, dataCentre := range e.settings.Map().DataCentres {
+		reply, err := e.ledgers.Changes(limit, &ledger.ChangesRequest{Ledger: dataCentre.Name, Limit: jobsLimit})
+		if err != nil {
+			continue
+		}
+
+		for i := range reply.Jobs {
+			jobs = append(jobs, JobReply{Job: reply.Jobs[i].Job, State: reply.Jobs[i].Job.State()})
+		}
+	}
+
+	httpd.WriteJSON(ctx, fasthttp.StatusOK, jobs)
+}
+
+func (e *Entry) deleteJob(ctx *fasthttp.RequestCtx, id string) {
+	result, err := e.writeJob(homeOf(id), ledger.Command{Cancel: &ledger.Cancel{ID: id}})
+	if err == nil && result.Status == ledger.StatusNotFound {
+		err = merry.Prependf(mill.ErrNotFound, "job %q", id)
+	}
+
+	if err != nil {
+		httpd.WriteError(ctx, err)
+
+		return
+	}
+
+	httpd.WriteJSON(ctx, fasthttp.StatusOK, Accepted{ID: id})
+}
+
+func (e *Entry) writeJob(home string, command ledger.Command) (ledger.Result, error) {
+	ctx, cancel := context.WithTimeout(e.ctx, jobTime)
+	defer cancel()
+
+	return e.ledgers.Propose(ctx, home, command)
+}
+
+// jobHome returns the data centre that places a team's jobs: the one that the
+// team declares, or else that of this entry.
+func (e *Entry) jobHome(team string) string {
+	if declared, ok := e.control.View().Declarations.FindTeam(team); ok && declared.Home != "" {
+		return declared.Home
+	}
+
+	return e.vm.DataCentre()
+}
+
+// jobID derives the id from the submitter's key, so that a resend is the same job.
+func jobID(home, team, key string) string {
+	sum := sha256.Sum256([]byte(team + "\x00" + key))
+
+	return home + "." + hex.EncodeToString(sum[:jobIDBytes])
+}
+
+// homeOf returns the data centre in a job's id.
+func homeOf(id string) string {
+	at := strings.LastIndexByte(id, '.')
+	if at < 0 {
+		return ""
+	}
+
+	return id[:at]
+}
--- /dev/null
+++ b/internal/entry/status_api.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cranberrymill/cranberrymill/internal/ctrl"
+	"github.com/cranberrymill/cranberrymill/internal/httpd"
+	"github.com/cranberrymill/cranberrymill/internal/ledger"
+)
+
+const statusTime = time.Second
+
+// StatusReply is the system as one entry sees it.
+type StatusReply struct {
+	VM        string          `json:"vm"`
+	Version   uint64          `json:"version"`
+	Digest    string          `json:"digest"`
+	Preset    string          `json:"preset"`
+	Control   []ControlStatus `json:"control"`
+	Ledgers   []LedgerStatus  `json:"ledgers"`
+	Services  []ServiceStatus `json:"services"`
+	Upstreams int             `json:"upstreams"`
+}
+
+// ControlStatus is what one voter says of the control log.
+type ControlStatus struct {
+	VM       string   `json:"vm"`
+	Leader   string   `json:"leader"`
+	Term     uint64   `json:"term"`
+	Revision uint64   `json:"revision"`
+	Voters   []string `json:"voters"`
+}
+
+// LedgerStatus is what the copies say of one ledger.
+type LedgerStatus struct {
+	DataCentre string   `json:"dataCentre"`
+	Epoch      uint64   `json:"epoch"`
+	Primary    string   `json:"primary"`
+	Replicas   []string `json:"replicas"`
+	Durable    bool     `json:"durable"`
+	Answering  int      `json:"answering"`
+	Scheduler  string   `json:"scheduler"`
+}
+
+// ServiceStatus is one service at this entry.
+type ServiceStatus struct {
+	Service string `json:"service"`
+	Slots   int    `json:"slots"`
+	InUse   int    `json:"inUse"`
+	Waiting int    `json:"waiting"`
+}
+
+func (e *Entry) getStatus(ctx *fasthttp.RequestCtx, _ string) {
+	limit, cancel := context.WithTimeout(e.ctx, statusTime)
+	defer cancel()
+
+	view := e.control.View()
+	reply := StatusReply{
+		VM:        e.vm.Name,
+		Version:   view.Version,
+		Digest:    view.Digest,
+		Preset:    view.Declarations.Preset,
+		Control:   controlStatuses(e.control.Status(limit)),
+		Services:  e.serviceStatuses(),
+		Upstreams: len(e.table.list(time.Now())),
+	}
+
+	for _, dataCentre := range e.settings.Map().DataCentres {
+		reply.Ledgers = append(reply.Ledgers, e.ledgerStatus(limit, dataCentre.Name, view))
+	}
+
+	httpd.WriteJSON(ctx, fasthttp.StatusOK, reply)
+}
+
+func controlStatuses(replies []ctrl.StatusReply) []ControlStatus {
+	statuses := make([]ControlStatus, 0, len(replies))
+
+	for i := range replies {
+		statuses = append(statuses, ControlStatus{
+			VM:       replies[i].VM,
+			Leader:   replies[i].Leader,
+			Term:     replies[i].Term,
+			Revision: replies[i].Revision,
+			Voters:   replies[i].Voters,
+		})
+	}
+
+	return statuses
+}
+
+func (e *Entry) ledgerStatus(ctx context.Context, dataCentre string, view *ctrl.View) LedgerStatus {
+	epoch := view.Epoch(dataCentre)
+	status := LedgerStatus{
+		DataCentre: dataCentre,
+		Epoch:      epoch.Number,
+		Primary:    epoch.Primary.VM,
+		Durable:    epoch.Durable(),
+	}
+
+	for i := range epoch.Replicas {
+		status.Replicas = append(status.Replicas, epoch.Replicas[i].VM)
+	}
+
+	for _, reply := range e.ledgers.Status(ctx, dataCentre) {
+		status.add(&reply)
+	}
+
+	return status
+}
+
+func (s *LedgerStatus) add(reply *ledger.StatusReply) {
+	s.Answering++
+
+	if reply.Leading {
+		s.Scheduler = reply.Scheduler
+	}
+}
+
+func (e *Entry) serviceStatuses() []ServiceStatus {
+	statuses := []ServiceStatus{}
+
+	for service, slots := range e.table.services() {
+		l, ok := e.table.lane(service)
+		if !ok {
+			continue
+		}
+
+		inUse, waiting := l.busy()
+		statuses = append(statuses, ServiceStatus{Service: service, Slots: slots, InUse: inUse, Waiting: waiting})
+	}
+
+	return statuses
+}
--- /dev/null
+++ b/internal/entry/workers_api.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cranberrymill/cranberrymill/internal/conf"
+	"github.com/cranberrymill/cranberrymill/internal/httpd"
+	"github.com/cranberrymill/cranberrymill/internal/sched"
+	"github.com/cranberrymill/cranberrymill/internal/wire"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+const schedTime = 2 * time.Second
+
+func (e *Entry) postHeartbeat(ctx *fasthttp.RequestCtx, _ string) {
+	var heartbeat mill.Heartbeat
+
+	if err := conf.DecodeJSON(ctx.PostBody(), &heartbeat); err != nil {
+		httpd.WriteError(ctx, err)
+
+		return
+	}
+
+	if err := heartbeat.Validate(); err != nil {
+		httpd.WriteError(ctx, err)
+
+		return
+	}
+
+	orders, err := askSched[mill.Heartbeat, mill.Orders](e, sched.MethodHeartbeat, &heartbeat)
+	if err != nil {
+		httpd.WriteError(ctx, err)
+
+		return
+	}
+
+	httpd.WriteJSON(ctx, fasthttp.StatusOK, orders)
+}
+
+func (e *Entry) getWorkers(ctx *fasthttp.RequestCtx, _ string) {
+	reply, err := askSched[sched.WorkersRequest, sched.WorkersReply](e, sched.MethodWorkers, &sched.WorkersRequest{})
+	if err != nil {
+		httpd.WriteError(ctx, err)
+
+		return
+	}
+
+	httpd.WriteJSON(ctx, fasthttp.StatusOK, reply.Workers)
+}
+
+// askSched calls the schedulers of the data centre until the active one answers.
+func askSched[Request, Reply any](e *Entry, method string, request *Request) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(e.ctx, schedTime)
+	defer cancel()
+
+	var last error = merry.Prepend(mill.ErrUnavailable, "no scheduler is active", merry.NoCaptureStack())
+
+	for _, vm := range e.settings.Map().In(e.vm.DataCentre()) {
+		if vm.Sched == "" {
+			continue
+		}
+
+		reply, err := wire.Call[Request, Reply](ctx, e.client, vm.Sched, method, request)
+		if err == nil {
+			return reply, nil
+		}
+
+		if !errors.Is(err, mill.ErrNotPrimary) && !errors.Is(err, mill.ErrUnreachable) {
+			last = err
+		}
+	}
+
+	return nil, last
+}
--- /dev/null
+++ b/internal/httpd/answer.go
@@ -0,0 +1,48 @@
+package httpd
+
+import (
+	"encoding/json"
+	"errors"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// Problem is the body of an answer that is not a success.
+type Problem struct {
+	Error string `json:"error"`
+}
+
+// WriteJSON answers with a value.
+func WriteJSON(ctx *fasthttp.RequestCtx, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+
+		return
+	}
+
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(data, '\n'))
+}
+
+// WriteError answers with an error and the status that fits its sentinel.
+func WriteError(ctx *fasthttp.RequestCtx, err error) {
+	WriteJSON(ctx, StatusOf(err), Problem{Error: err.Error()})
+}
+
+// StatusOf returns the HTTP status that fits the sentinel which an error wraps.
+func StatusOf(err error) int {
+	switch {
+	case errors.Is(err, mill.ErrInvalid):
+		return fasthttp.StatusBadRequest
+	case errors.Is(err, mill.ErrNotFound):
+		return fasthttp.StatusNotFound
+	case errors.Is(err, mill.ErrConflict):
+		return fasthttp.StatusConflict
+	default:
+		return fasthttp.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/internal/ledger/primary.go
@@ -0,0 +1,180 @@
+package ledger
+
+import "github.com/cranberrymill/cranberrymill/pkg/mill"
+
+func (r *Replica) tickPrimary() {
+	for identity, p := range r.peers {
+		p.quiet++
+
+		if p.quiet > suspectTicks {
+			r.suspect(identity, p)
+		}
+
+		r.retry(p)
+		r.sendEntries(p)
+	}
+}
+
+// suspect drops a silent learner and asks for an epoch without a silent
+// replica. A learner that an unanswered wish names stays counted, since the
+// control log may yet accept it.
+func (r *Replica) suspect(identity string, p *peer) {
+	if r.wish != nil {
+		return
+	}
+
+	if p.learner {
+		delete(r.peers, identity)
+		r.advance()
+
+		return
+	}
+
+	next := r.epoch.Without(identity)
+	r.wish = &next
+}
+
+// retry sends again what was sent a few ticks ago and not acknowledged.
+func (r *Replica) retry(p *peer) {
+	if p.acked+1 >= p.next {
+		p.stalled = 0
+
+		return
+	}
+
+	p.stalled++
+
+	if p.stalled >= stalledTicks {
+		p.stalled = 0
+		p.next = p.acked + 1
+	}
+}
+
+// sendEntries sends what follows p.next, or a heartbeat when nothing does.
+func (r *Replica) sendEntries(p *peer) {
+	prev := p.next - 1
+
+	ballot, ok := r.log.ballotAt(prev)
+	if !ok {
+		r.sendSnapshot(p)
+
+		return
+	}
+
+	list := r.log.after(prev, entriesAtOnce)
+	p.next += uint64(len(list))
+
+	r.sendEarly(p.member, Message{
+		Kind:       KindAppend,
+		Prev:       prev,
+		PrevBallot: ballot,
+		Entries:    list,
+		Commit:     r.commit,
+	})
+}
+
+func (r *Replica) sendSnapshot(p *peer) {
+	data, err := r.state.Save()
+	if err != nil {
+		return
+	}
+
+	ballot, _ := r.log.ballotAt(r.commit)
+	p.next = r.commit + 1
+
+	r.sendEarly(p.member, Message{
+		Kind:       KindInstall,
+		Prev:       r.commit,
+		PrevBallot: ballot,
+		Snapshot:   data,
+		Commit:     r.commit,
+	})
+}
+
+func (r *Replica) stepAck(message *Message) {
+	p, ok := r.peers[message.From.Identity]
+	if !r.leading || !ok || message.Ballot != r.ballot {
+		return
+	}
+
+	p.quiet = 0
+
+	if message.Index > p.acked {
+		p.acked = message.Index
+		p.stalled = 0
+	}
+
+	p.next = max(p.next, p.acked+1)
+	r.advance()
+	r.promote(p)
+
+	if p.next <= r.log.last() {
+		r.sendEntries(p)
+	}
+}
+
+// promote counts a learner that has the whole log and asks for an epoch with
+// it. It is counted first, and durably, so that whenever the control log
+// accepts the epoch the learner has all that was committed.
+func (r *Replica) promote(p *peer) {
+	if !p.learner || r.wish != nil || p.acked < r.log.last() {
+		return
+	}
+
+	p.counted = true
+	next := r.epoch.With(p.member)
+	r.wish = &next
+	r.pledge = &next
+	r.writeVow()
+}
+
+func (r *Replica) stepRefuse(message *Message) {
+	if r.ballot.Less(message.Ballot) {
+		r.leading = false
+		r.join(message.Ballot)
+
+		return
+	}
+
+	p, ok := r.peers[message.From.Identity]
+	if !r.leading || !ok || message.Ballot != r.ballot {
+		return
+	}
+
+	p.quiet = 0
+	p.next = message.Index + 1
+	r.sendEntries(p)
+}
+
+func (r *Replica) stepLearn(message *Message) {
+	if !r.leading {
+		return
+	}
+
+	if _, ok := r.peers[message.From.Identity]; ok {
+		return
+	}
+
+	p := newPeer(message.From, r.log.last()+1)
+	p.learner = true
+	r.peers[message.From.Identity] = p
+	r.sendEntries(p)
+}
+
+func (r *Replica) sendEarly(to mill.Member, message Message) {
+	r.out.Early = append(r.out.Early, r.address(to, message))
+}
+
+func (r *Replica) sendLate(to mill.Member, message Message) {
+	r.out.Late = append(r.out.Late, r.address(to, message))
+}
+
+func (r *Replica) address(to mill.Member, message Message) Message {
+	message.Ledger = r.ledger
+	message.From = r.self
+	message.To = to.Identity
+	message.Address = to.Address
+	message.Ballot = r.ballot
+
+	return message
+}
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,56 @@
+package meter
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const reportTime = time.Second
+
+// Meter holds the metrics of one process.
+type Meter struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+}
+
+// New returns the metrics of a process with the role and VM as tags.
+func New(role, vm string) *Meter {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+		OnRegisterError: func(error) {
+			// A metric that cannot be registered is left out: metrics must not stop a process.
+		},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "mill",
+		Tags:           map[string]string{"role": role, "vm": vm},
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, reportTime)
+
+	return &Meter{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+}
+
+// Scope returns where metrics are made.
+func (m *Meter) Scope() tally.Scope {
+	return m.scope
+}
+
+// Handler answers /metrics.
+func (m *Meter) Handler() http.Handler {
+	return m.handler
+}
+
+// Close reports what is left.
+func (m *Meter) Close() error {
+	return m.closer.Close()
+}
--- /dev/null
+++ b/internal/raft/leader.go
@@ -0,0 +1,197 @@
+package raft
+
+import "slices"
+
+// learnerTicks is how long a learner may be silent before it is forgotten.
+const learnerTicks = 4 * electionTicks
+
+// lead starts the term with an entry of its own, since only an entry of the
+// current term shows that those before it are committed.
+func (n *Node) lead() {
+	n.role = leader
+	n.leader = n.self
+	n.progress = make(map[string]*progress)
+	n.syncProgress()
+	n.add(Entry{})
+}
+
+// syncProgress follows the membership.
+func (n *Node) syncProgress() {
+	for _, server := range n.log.membership.Servers {
+		if server.Identity == n.self.Identity || n.progress[server.Identity] != nil {
+			continue
+		}
+
+		n.progress[server.Identity] = &progress{server: server, next: n.log.last() + 1}
+	}
+}
+
+func (n *Node) tickLeader() {
+	for identity, p := range n.progress {
+		p.quiet++
+		p.retry()
+
+		if p.quiet > learnerTicks && !n.log.membership.Has(identity) {
+			delete(n.progress, identity)
+		}
+	}
+
+	if !n.hearsQuorum() {
+		n.follow(n.term)
+		n.leader = Server{}
+
+		return
+	}
+
+	if n.ticks%heartbeatTicks != 0 {
+		return
+	}
+
+	for _, p := range n.progress {
+		n.sendEntries(p)
+	}
+
+	n.admit()
+}
+
+// hearsQuorum reports whether a majority has answered within an election time.
+func (n *Node) hearsQuorum() bool {
+	heard := 0
+
+	for _, server := range n.log.membership.Servers {
+		p := n.progress[server.Identity]
+		if p == nil || p.quiet <= electionTicks {
+			heard++
+		}
+	}
+
+	return heard >= n.log.membership.Quorum()
+}
+
+// admit makes a learner that has the log a voter. A voter that its VM has lost
+// is removed first: a VM has one vote.
+func (n *Node) admit() {
+	if !n.mayChangeMembership() {
+		return
+	}
+
+	for identity, p := range n.progress {
+		if n.log.membership.Has(identity) || p.match < n.commit || p.server.VM == n.self.VM {
+			continue
+		}
+
+		n.change(p.server)
+
+		return
+	}
+}
+
+// mayChangeMembership reports whether the last change and an entry of this term are committed.
+func (n *Node) mayChangeMembership() bool {
+	term, ok := n.log.termAt(n.commit)
+
+	return ok && term == n.term && n.log.membershipIndex <= n.commit
+}
+
+func (n *Node) change(learner Server) {
+	next := n.log.membership.With(learner)
+
+	for _, server := range n.log.membership.Servers {
+		if server.VM == learner.VM {
+			next = n.log.membership.Without(server.Identity)
+		}
+	}
+
+	n.add(Entry{Membership: &next})
+}
+
+// advance commits what a majority has stored, once that includes an entry of this term.
+func (n *Node) advance() {
+	matches := make([]uint64, 0, len(n.log.membership.Servers))
+
+	for _, server := range n.log.membership.Servers {
+		if server.Identity == n.self.Identity {
+			matches = append(matches, n.saved)
+		} else {
+			matches = append(matches, n.progress[server.Identity].match)
+		}
+	}
+
+	slices.Sort(matches)
+
+	index := matches[len(matches)-n.log.membership.Quorum()]
+
+	if term, ok := n.log.termAt(index); ok && term == n.term {
+		n.commitTo(index)
+	}
+}
+
+func (n *Node) sendEntries(p *progress) {
+	prev := p.next - 1
+
+	term, ok := n.log.termAt(prev)
+	if !ok {
+		n.sendSnapshot(p)
+
+		return
+	}
+
+	list := n.log.after(prev, entriesAtOnce)
+	p.next += uint64(len(list))
+
+	n.sendEarly(p.server, Message{
+		Kind:     KindAppend,
+		Prev:     prev,
+		PrevTerm: term,
+		Entries:  list,
+		Commit:   n.commit,
+	})
+}
+
+func (n *Node) sendSnapshot(p *progress) {
+	snapshot, err := n.snapshot()
+	if err != nil {
+		return
+	}
+
+	p.next = snapshot.Index + 1
+	n.sendEarly(p.server, Message{Kind: KindInstall, Snapshot: snapshot, Commit: n.commit})
+}
+
+func (n *Node) stepAppendReply(message *Message) {
+	p, ok := n.progress[message.From.Identity]
+	if n.role != leader || !ok || message.Term != n.term {
+		return
+	}
+
+	p.quiet = 0
+
+	if !message.Granted {
+		p.next = min(message.Index, n.log.last()) + 1
+		n.sendEntries(p)
+
+		return
+	}
+
+	if message.Index > p.match {
+		p.match = message.Index
+		p.stalled = 0
+	}
+
+	p.next = max(p.next, p.match+1)
+	n.advance()
+
+	if p.next <= n.log.last() {
+		n.sendEntries(p)
+	}
+}
+
+func (n *Node) stepLearn(message *Message) {
+	if n.role != leader || n.progress[message.From.Identity] != nil {
+		return
+	}
+
+	p := &progress{server: message.From, next: n.log.last() + 1}
+	n.progress[message.From.Identity] = p
+	n.sendEntries(p)
+}
--- /dev/null
+++ b/internal/ring/doc.go
@@ -0,0 +1,2 @@
+// Package ring has the bounded queue that joins two duties.
+package ring
--- /dev/null
+++ b/internal/route/least_wait.go
@@ -0,0 +1,53 @@
+package route
+
+import (
+	"time"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// LeastWaitName is the name of LeastWait in a preset.
+const LeastWaitName = "leastWait"
+
+func init() {
+	mill.Routers.Register(LeastWaitName, func() mill.Router { return &LeastWait{} })
+}
+
+// LeastWait chooses the candidate where the expected time to an answer is the
+// shortest; among equals it takes one at random, so that entries that see the
+// same figures do not all choose the same upstream.
+type LeastWait struct{}
+
+// Choose returns the index of a candidate with a free slot, or -1.
+func (*LeastWait) Choose(candidates []mill.Candidate, random uint64) int {
+	best := -1
+	least := time.Duration(0)
+
+	if len(candidates) == 0 {
+		return best
+	}
+
+	start := int(random % uint64(len(candidates)))
+
+	for i := range candidates {
+		at := (start + i) % len(candidates)
+		candidate := &candidates[at]
+
+		if candidate.Busy >= candidate.Slots {
+			continue
+		}
+
+		wait := expected(candidate)
+		if best < 0 || wait < least {
+			best = at
+			least = wait
+		}
+	}
+
+	return best
+}
+
+// expected returns the time to an answer, longer the more slots are busy.
+func expected(candidate *mill.Candidate) time.Duration {
+	return candidate.MeanTime + candidate.MeanTime*time.Duration(candidate.Busy)/time.Duration(candidate.Slots)
+}
--- /dev/null
+++ b/internal/sched/heartbeat.go
@@ -0,0 +1,196 @@
+package sched
+
+import (
+	"context"
+	"time"
+
+	"github.com/cranberrymill/cranberrymill/internal/ledger"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// takeHeartbeat answers a worker's heartbeat with its orders.
+func (s *Scheduler) takeHeartbeat(ctx context.Context, heartbeat *mill.Heartbeat) (*mill.Orders, error) {
+	orders := &mill.Orders{}
+
+	err := s.do(ctx, func() error {
+		// Past its authority a scheduler may have been deposed without knowing.
+		if time.Now().After(s.authority) {
+			return mill.ErrNotPrimary
+		}
+
+		return s.heartbeat(ctx, heartbeat, orders)
+	})
+
+	return orders, err
+}
+
+func (s *Scheduler) heartbeat(ctx context.Context, heartbeat *mill.Heartbeat, orders *mill.Orders) error {
+	w := s.mirror.worker(heartbeat.ID)
+
+	if !s.admit(w, heartbeat) {
+		return mill.ErrConflict
+	}
+
+	if err := s.enroll(ctx, w, heartbeat); err != nil {
+		return err
+	}
+
+	if err := s.end(ctx, heartbeat, orders); err != nil {
+		return err
+	}
+
+	s.order(w, heartbeat, orders)
+	orders.LeaseMilli = s.settings.Limits.LeaseMilli
+
+	return nil
+}
+
+// admit refuses a process that took the place of another under the same id
+// until the leases of the other have run out: both may be running.
+func (s *Scheduler) admit(w *worker, heartbeat *mill.Heartbeat) bool {
+	if w.incarnation != 0 && heartbeat.Incarnation != w.incarnation && w.live {
+		return false
+	}
+
+	if heartbeat.Incarnation < w.incarnation {
+		return false
+	}
+
+	// A scheduler that has just become active does not know which process
+	// held the tasks, so the first one heard must report them.
+	if w.incarnation == 0 && len(w.tasks) > 0 && !reports(heartbeat, w) {
+		return s.settled()
+	}
+
+	if !w.live {
+		s.dirty = true
+	}
+
+	w.incarnation = heartbeat.Incarnation
+	w.live = true
+	w.heard = time.Now()
+	w.view.Rack = heartbeat.Rack
+
+	return true
+}
+
+// settled reports whether every lease has run out that an earlier scheduler gave.
+func (s *Scheduler) settled() bool {
+	lease := s.settings.Limits.Lease()
+
+	return time.Since(s.activeSince) > authorityTime+lease+lease/driftPart
+}
+
+// reports reports whether a heartbeat names any task that the worker holds.
+func reports(heartbeat *mill.Heartbeat, w *worker) bool {
+	for i := range heartbeat.Reports {
+		if _, ok := w.tasks[heartbeat.Reports[i].TaskRef]; ok {
+			return true
+		}
+	}
+
+	return false
+}
+
+// enroll commits a worker's capacity before it gets any task.
+func (s *Scheduler) enroll(ctx context.Context, w *worker, heartbeat *mill.Heartbeat) error {
+	if w.enrolled && w.view.Capacity == heartbeat.Capacity {
+		return nil
+	}
+
+	_, err := s.propose(ctx, ledger.Command{Enroll: &ledger.Enroll{
+		Term: s.term, Worker: heartbeat.ID, Capacity: heartbeat.Capacity,
+	}})
+	if err != nil {
+		return err
+	}
+
+	w.enrolled = true
+	w.setCapacity(heartbeat.Capacity)
+	s.dirty = true
+
+	return nil
+}
+
+// end commits what the worker says has ended, and tells it to forget that.
+func (s *Scheduler) end(ctx context.Context, heartbeat *mill.Heartbeat, orders *mill.Orders) error {
+	var endings []ledger.Ending
+
+	for i := range heartbeat.Reports {
+		report := &heartbeat.Reports[i]
+		if !report.State.Final() {
+			continue
+		}
+
+		orders.Forget = append(orders.Forget, report.TaskRef)
+
+		if _, ok := s.mirror.assigned(report.TaskRef, heartbeat.ID); ok {
+			endings = append(endings, ledger.Ending{
+				TaskRef: report.TaskRef, State: report.State, Reason: report.Reason,
+			})
+		}
+	}
+
+	if len(endings) == 0 {
+		return nil
+	}
+
+	result, err := s.propose(ctx, ledger.Command{End: &ledger.End{Term: s.term, Endings: endings}})
+	if err != nil {
+		return err
+	}
+
+	for i := range endings {
+		s.mirror.end(&endings[i], heartbeat.ID, result.Index)
+	}
+
+	s.dirty = true
+
+	return nil
+}
+
+// end notes an ending until the ledger's form of the job arrives.
+func (m *mirror) end(ending *ledger.Ending, worker string, index uint64) {
+	m.worker(worker).release(ending.TaskRef)
+
+	job, ok := m.jobs[ending.Job]
+	if !ok {
+		return
+	}
+
+	m.written[ending.Job] = index
+
+	task := &job.Tasks[ending.Index]
+	task.State = ending.State
+	task.Worker = ""
+}
+
+// order tells the worker to run what it does not hold yet, and to stop what is
+// not its own or not wanted any more.
+func (s *Scheduler) order(w *worker, heartbeat *mill.Heartbeat, orders *mill.Orders) {
+	held := make(map[mill.TaskRef]bool, len(heartbeat.Reports))
+
+	for i := range heartbeat.Reports {
+		report := &heartbeat.Reports[i]
+		held[report.TaskRef] = true
+
+		job, ok := s.mirror.assigned(report.TaskRef, heartbeat.ID)
+		if !report.State.Final() && (!ok || job.Canceled) {
+			orders.Stop = append(orders.Stop, report.TaskRef)
+		}
+	}
+
+	for ref := range w.tasks {
+		job, ok := s.mirror.assigned(ref, heartbeat.ID)
+		if held[ref] || !ok {
+			continue
+		}
+
+		orders.Run = append(orders.Run, mill.RunOrder{
+			TaskRef:      ref,
+			RunTimeMilli: job.Spec.RunTimeMilli,
+			Each:         job.Spec.Each,
+			Command:      job.Spec.Command,
+		})
+	}
+}
--- /dev/null
+++ b/internal/sched/mirror.go
@@ -0,0 +1,95 @@
+package sched
+
+import (
+	"slices"
+
+	"github.com/cranberrymill/cranberrymill/internal/ledger"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// mirror is the scheduler's copy of the ledger's jobs with the workers.
+type mirror struct {
+	jobs    map[string]*mill.Job
+	order   []string
+	workers map[string]*worker
+	// written holds, for each job, the index of this scheduler's last write to it.
+	written map[string]uint64
+}
+
+func newMirror() *mirror {
+	return &mirror{
+		jobs:    make(map[string]*mill.Job),
+		workers: make(map[string]*worker),
+		written: make(map[string]uint64),
+	}
+}
+
+// update takes a form of a job, unless it was read before this scheduler's last write to it.
+func (m *mirror) update(changed ledger.ChangedJob) {
+	job := changed.Job
+	if changed.Index < m.written[job.ID] {
+		return
+	}
+
+	if old, ok := m.jobs[job.ID]; ok {
+		m.releaseAll(old)
+	} else {
+		m.order = append(m.order, job.ID)
+	}
+
+	if job.Final() {
+		delete(m.jobs, job.ID)
+		delete(m.written, job.ID)
+		m.order = slices.DeleteFunc(m.order, func(id string) bool { return id == job.ID })
+
+		return
+	}
+
+	m.jobs[job.ID] = &job
+	m.takeAll(&job)
+}
+
+func (m *mirror) takeAll(job *mill.Job) {
+	for i := range job.Tasks {
+		task := &job.Tasks[i]
+		if task.State == mill.TaskAssigned {
+			m.worker(task.Worker).take(refOf(job, i), job.Spec.Each)
+		}
+	}
+}
+
+func (m *mirror) releaseAll(job *mill.Job) {
+	for i := range job.Tasks {
+		task := &job.Tasks[i]
+		if task.State == mill.TaskAssigned {
+			m.worker(task.Worker).release(refOf(job, i))
+		}
+	}
+}
+
+// worker returns the worker of that id, one not heard yet if need be.
+func (m *mirror) worker(id string) *worker {
+	w, ok := m.workers[id]
+	if !ok {
+		w = newWorker(id)
+		m.workers[id] = w
+	}
+
+	return w
+}
+
+// assigned returns the job of an attempt that the ledger has given to a worker.
+func (m *mirror) assigned(ref mill.TaskRef, to string) (*mill.Job, bool) {
+	job, ok := m.jobs[ref.Job]
+	if !ok || ref.Index < 0 || ref.Index >= len(job.Tasks) {
+		return nil, false
+	}
+
+	task := &job.Tasks[ref.Index]
+
+	return job, task.State == mill.TaskAssigned && task.Attempt == ref.Attempt && task.Worker == to
+}
+
+func refOf(job *mill.Job, index int) mill.TaskRef {
+	return mill.TaskRef{Job: job.ID, Index: index, Attempt: job.Tasks[index].Attempt}
+}
--- /dev/null
+++ b/internal/sched/scheduler.go
@@ -0,0 +1,490 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cranberrymill/cranberrymill/internal/conf"
+	"github.com/cranberrymill/cranberrymill/internal/ctrl"
+	"github.com/cranberrymill/cranberrymill/internal/ledger"
+	"github.com/cranberrymill/cranberrymill/internal/place"
+	"github.com/cranberrymill/cranberrymill/internal/ring"
+	"github.com/cranberrymill/cranberrymill/internal/wire"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+const (
+	planTime     = 25 * time.Millisecond
+	renewTime    = 500 * time.Millisecond
+	takeoverTime = 3 * time.Second
+	// authorityTime is how long after a renewal was sent the active scheduler
+	// may extend leases; it is shorter than takeoverTime, so that a deposed
+	// one has stopped before its successor begins.
+	authorityTime = 2 * time.Second
+	// driftPart bounds how much faster one VM's clock runs than another's, as 1 in driftPart.
+	driftPart   = 20
+	followWait  = 500 * time.Millisecond
+	followTime  = 2 * time.Second
+	proposeTime = 2 * time.Second
+	followLimit = 256
+	eventRing   = 4096
+)
+
+// errLost means that another scheduler has become the active one.
+var errLost = merry.Sentinel("another scheduler is active")
+
+// Scheduler is one process of the role.
+type Scheduler struct {
+	settings *conf.Settings
+	vm       conf.VM
+	holder   string
+	client   *wire.Client
+	control  *ctrl.Watcher
+	ledgers  *ledger.Client
+	events   *ring.Ring[func()]
+
+	active      bool
+	term        uint64
+	renewals    uint64
+	seenTerm    uint64
+	changedAt   time.Time
+	activeSince time.Time
+	authority   time.Time
+	index       uint64
+	mirror      *mirror
+	dirty       bool
+}
+
+// New returns a scheduler that is not running yet.
+func New(settings *conf.Settings) (*Scheduler, error) {
+	vm, ok := settings.Map().Find(settings.VM)
+	if !ok || vm.Sched == "" {
+		return nil, merry.Prependf(mill.ErrInvalid, "vms.%s.sched \"\": want host:port", settings.VM)
+	}
+
+	client := wire.NewClient()
+
+	return &Scheduler{
+		settings:  settings,
+		vm:        vm,
+		holder:    vm.Name,
+		client:    client,
+		control:   ctrl.NewWatcher(client, settings.Map().Voters(vm)),
+		events:    ring.New[func()](eventRing),
+		changedAt: time.Now(),
+		mirror:    newMirror(),
+	}, nil
+}
+
+// Run schedules, or stands by, until the context ends.
+func (s *Scheduler) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.vm.Sched)
+	if err != nil {
+		return merry.Prependf(mill.ErrInvalid, "vms.%s.sched %q: %v", s.vm.Name, s.vm.Sched, err)
+	}
+
+	s.ledgers = ledger.NewClient(ctx, s.client, s.control, s.settings.Map().Stores())
+
+	server := &wire.Server{}
+	wire.Handle(server, MethodHeartbeat, s.takeHeartbeat)
+	wire.Handle(server, MethodWorkers, s.answerWorkers)
+	wire.Handle(server, MethodExplain, s.answerExplain)
+
+	var duties errgroup.Group
+
+	duties.Go(func() error { return s.control.Run(ctx) })
+	duties.Go(func() error { return server.Serve(ctx, listener) })
+	duties.Go(func() error { return s.runFollow(ctx) })
+	duties.Go(func() error { return s.runEvents(ctx) })
+	duties.Go(func() error { return s.runClock(ctx, planTime, s.tick) })
+	duties.Go(func() error { return s.runRenew(ctx) })
+
+	return duties.Wait()
+}
+
+// runEvents runs every event on one goroutine, which owns the mirror.
+func (s *Scheduler) runEvents(ctx context.Context) error {
+	for {
+		event, err := s.events.Take(ctx)
+		if err != nil {
+			return nil
+		}
+
+		event()
+	}
+}
+
+func (s *Scheduler) runClock(ctx context.Context, period time.Duration, event func(ctx context.Context)) error {
+	clock := time.NewTicker(period)
+	defer clock.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-clock.C:
+			s.events.Offer(func() { event(ctx) })
+		}
+	}
+}
+
+// runRenew renews the lease of the active scheduler on a goroutine of its own,
+// so that a long plan does not cost it the lease.
+func (s *Scheduler) runRenew(ctx context.Context) error {
+	clock := time.NewTicker(renewTime)
+	defer clock.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-clock.C:
+			s.renew(ctx)
+		}
+	}
+}
+
+// renew commits that this scheduler is alive, or that it takes over from one
+// that has not been for takeoverTime.
+func (s *Scheduler) renew(ctx context.Context) {
+	term, ok := s.wantedTerm(ctx)
+	if !ok {
+		return
+	}
+
+	sent := time.Now()
+
+	ctx, cancel := context.WithTimeout(ctx, proposeTime)
+	defer cancel()
+
+	result, err := s.ledgers.Propose(ctx, s.vm.DataCentre(), ledger.Command{
+		Lead: &ledger.Lead{Holder: s.holder, Term: term},
+	})
+	if err != nil {
+		return
+	}
+
+	_ = s.events.Put(ctx, func() { s.renewed(term, sent, &result) })
+}
+
+// wantedTerm returns the term to renew or to take, if any.
+func (s *Scheduler) wantedTerm(ctx context.Context) (uint64, bool) {
+	reply := make(chan uint64, 1)
+
+	err := s.events.Put(ctx, func() {
+		switch {
+		case s.active:
+			reply <- s.term
+		case time.Since(s.changedAt) > takeoverTime:
+			reply <- s.seenTerm + 1
+		default:
+			reply <- 0
+		}
+	})
+	if err != nil {
+		return 0, false
+	}
+
+	select {
+	case term := <-reply:
+		return term, term > 0
+	case <-ctx.Done():
+		return 0, false
+	}
+}
+
+func (s *Scheduler) renewed(term uint64, sent time.Time, result *ledger.Result) {
+	if result.Status != ledger.StatusOK {
+		s.depose(result.Term)
+
+		return
+	}
+
+	s.authority = sent.Add(authorityTime)
+
+	if s.active && s.term == term {
+		return
+	}
+
+	log.Info().Str("dataCentre", s.vm.DataCentre()).Uint64("term", term).Msg("scheduler is active")
+
+	s.active = true
+	s.term = term
+	s.activeSince = time.Now()
+	s.mirror = newMirror()
+	s.index = 0
+}
+
+func (s *Scheduler) depose(term uint64) {
+	if s.active {
+		log.Warn().Uint64("term", term).Msg("another scheduler is active")
+	}
+
+	s.active = false
+	s.seenTerm = max(s.seenTerm, term)
+	s.changedAt = time.Now()
+}
+
+// runFollow brings the mirror up to date with the ledger.
+func (s *Scheduler) runFollow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := s.follow(ctx); err != nil {
+			time.Sleep(planTime)
+		}
+	}
+
+	return nil
+}
+
+func (s *Scheduler) follow(ctx context.Context) error {
+	since := make(chan uint64, 1)
+
+	if err := s.events.Put(ctx, func() { since <- s.index }); err != nil {
+		return err
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, followTime)
+	defer cancel()
+
+	var from uint64
+
+	select {
+	case from = <-since:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+
+	reply, err := s.ledgers.Changes(ctx, &ledger.ChangesRequest{
+		Ledger: s.vm.DataCentre(), Since: from, Limit: followLimit, WaitMilli: followWait.Milliseconds(),
+	})
+	if err != nil {
+		return err
+	}
+
+	return s.events.Put(ctx, func() { s.merge(from, reply) })
+}
+
+// merge takes changes, unless the mirror was begun anew since they were asked for.
+func (s *Scheduler) merge(from uint64, reply *ledger.ChangesReply) {
+	if reply.Term != s.seenTerm || reply.Renewals != s.renewals {
+		s.seenTerm = reply.Term
+		s.renewals = reply.Renewals
+		s.changedAt = time.Now()
+	}
+
+	if s.active && reply.Term > s.term {
+		s.depose(reply.Term)
+	}
+
+	if from != s.index {
+		return
+	}
+
+	for i := range reply.Jobs {
+		s.mirror.update(reply.Jobs[i])
+	}
+
+	s.index = max(s.index, reply.Index)
+	s.dirty = s.dirty || len(reply.Jobs) > 0
+}
+
+// tick ends what silent workers held and places what is pending.
+func (s *Scheduler) tick(ctx context.Context) {
+	if !s.active {
+		return
+	}
+
+	s.expire(ctx)
+
+	if !s.dirty {
+		return
+	}
+
+	s.dirty = false
+
+	for _, placements := range s.mirror.plan(s.placer()) {
+		if err := s.assign(ctx, placements); err != nil {
+			s.dirty = true
+
+			return
+		}
+	}
+}
+
+func (s *Scheduler) assign(ctx context.Context, placements []ledger.Placement) error {
+	result, err := s.propose(ctx, ledger.Command{Assign: &ledger.Assign{Term: s.term, Placements: placements}})
+	if err != nil {
+		return err
+	}
+
+	if result.Status != ledger.StatusOK {
+		log.Warn().Str("reason", result.Reason).Msg("placement refused")
+
+		return nil
+	}
+
+	for i := range placements {
+		s.mirror.place(&placements[i], result.Index)
+	}
+
+	return nil
+}
+
+// place notes a placement that the ledger has committed.
+func (m *mirror) place(placement *ledger.Placement, index uint64) {
+	job, ok := m.jobs[placement.Job]
+	if !ok {
+		return
+	}
+
+	m.written[placement.Job] = index
+
+	task := &job.Tasks[placement.Index]
+	if task.State != mill.TaskPending || placement.Attempt != task.Attempt+1 {
+		return
+	}
+
+	task.State = mill.TaskAssigned
+	task.Attempt = placement.Attempt
+	task.Worker = placement.Worker
+	m.worker(placement.Worker).take(placement.TaskRef, job.Spec.Each)
+}
+
+func (s *Scheduler) propose(ctx context.Context, command ledger.Command) (ledger.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTime)
+	defer cancel()
+
+	result, err := s.ledgers.Propose(ctx, s.vm.DataCentre(), command)
+	if err != nil {
+		return result, err
+	}
+
+	if result.Status == ledger.StatusStale {
+		s.depose(result.Term)
+
+		return result, errLost
+	}
+
+	return result, nil
+}
+
+// expire puts back what the workers held that have been silent for their whole
+// lease. A scheduler that has just become active first lets every lease run
+// out that the one before may have given.
+func (s *Scheduler) expire(ctx context.Context) {
+	grace := s.settings.Limits.Lease() + s.settings.Limits.Lease()/driftPart
+	now := time.Now()
+
+	if now.Sub(s.activeSince) < authorityTime+grace {
+		return
+	}
+
+	for id, w := range s.mirror.workers {
+		heard := w.heard
+		if heard.Before(s.activeSince) {
+			heard = s.activeSince
+		}
+
+		if now.Sub(heard) < grace {
+			continue
+		}
+
+		s.lose(ctx, id, w)
+	}
+}
+
+func (s *Scheduler) lose(ctx context.Context, id string, w *worker) {
+	w.live = false
+
+	if len(w.tasks) == 0 {
+		return
+	}
+
+	endings := make([]ledger.Ending, 0, len(w.tasks))
+	for ref := range w.tasks {
+		endings = append(endings, ledger.Ending{TaskRef: ref, State: mill.TaskPending, Reason: "worker was lost"})
+	}
+
+	log.Warn().Str("worker", id).Int("tasks", len(endings)).Msg("worker lost")
+
+	result, err := s.propose(ctx, ledger.Command{End: &ledger.End{Term: s.term, Endings: endings}})
+	if err != nil {
+		return
+	}
+
+	for i := range endings {
+		s.mirror.end(&endings[i], id, result.Index)
+	}
+
+	s.dirty = true
+}
+
+func (s *Scheduler) placer() mill.Placer {
+	newPlacer, err := mill.Placers.Find(s.control.View().InForce().Placer)
+	if err != nil {
+		return place.Spread{}
+	}
+
+	return newPlacer()
+}
+
+// do runs an event and waits for it, or for the context to end.
+func (s *Scheduler) do(ctx context.Context, event func() error) error {
+	done := make(chan error, 1)
+
+	err := s.events.Put(ctx, func() {
+		if !s.active {
+			done <- mill.ErrNotPrimary
+
+			return
+		}
+
+		done <- event()
+	})
+	if err != nil {
+		return err
+	}
+
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errors.Join(mill.ErrUnavailable, ctx.Err())
+	}
+}
+
+func (s *Scheduler) answerWorkers(ctx context.Context, _ *WorkersRequest) (*WorkersReply, error) {
+	reply := &WorkersReply{}
+
+	err := s.do(ctx, func() error {
+		for id, w := range s.mirror.workers {
+			reply.Workers = append(reply.Workers, WorkerStatus{
+				ID: id, Rack: w.view.Rack, Capacity: w.view.Capacity, Free: w.view.Free, Tasks: len(w.tasks), Live: w.live,
+			})
+		}
+
+		return nil
+	})
+
+	return reply, err
+}
+
+func (s *Scheduler) answerExplain(ctx context.Context, request *ExplainRequest) (*ExplainReply, error) {
+	var reply *ExplainReply
+
+	err := s.do(ctx, func() error {
+		var err error
+
+		reply, err = s.mirror.explain(request.Job)
+
+		return err
+	})
+
+	return reply, err
+}
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,74 @@
+package wire
+
+import (
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+)
+
+// The bounds of one message, against input that would take all memory.
+const (
+	maxElements = 1 << 20
+	maxNesting  = 16
+)
+
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+// Encode returns the CBOR form of a message.
+func Encode(message any) ([]byte, error) {
+	data, err := encoder.Marshal(message)
+	if err != nil {
+		return nil, merry.Prependf(err, "encode %T", message)
+	}
+
+	return data, nil
+}
+
+// Decode fills a message from its CBOR form.
+func Decode(data []byte, message any) error {
+	if err := decoder.Unmarshal(data, message); err != nil {
+		return merry.Prependf(err, "decode %T", message)
+	}
+
+	return nil
+}
+
+// codec adapts CBOR to drpc.Encoding.
+type codec struct{}
+
+var _ drpc.Encoding = codec{}
+
+// Marshal encodes a message.
+func (codec) Marshal(message drpc.Message) ([]byte, error) {
+	return Encode(message)
+}
+
+// Unmarshal decodes a message.
+func (codec) Unmarshal(data []byte, message drpc.Message) error {
+	return Decode(data, message)
+}
+
+func newEncoder() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+
+	return mode
+}
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+
+	return mode
+}
--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,70 @@
+package wire
+
+import (
+	"context"
+	"net"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// MaxMessageSize bounds one message in bytes.
+const MaxMessageSize = 64 << 20
+
+// Server answers the calls of other processes; its zero value knows no method.
+type Server struct {
+	methods map[string]func(stream drpc.Stream) error
+}
+
+// Handle registers the function that answers a method; it must precede Serve.
+func Handle[Request, Response any](
+	s *Server, method string, answer func(ctx context.Context, request *Request) (*Response, error),
+) {
+	if s.methods == nil {
+		s.methods = make(map[string]func(stream drpc.Stream) error)
+	}
+
+	s.methods[method] = func(stream drpc.Stream) error {
+		var request Request
+
+		if err := stream.MsgRecv(&request, codec{}); err != nil {
+			return err
+		}
+
+		response, err := answer(stream.Context(), &request)
+		if err != nil {
+			return withCode(err)
+		}
+
+		return stream.MsgSend(response, codec{})
+	}
+}
+
+// HandleRPC answers one call.
+func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
+	method, ok := s.methods[rpc]
+	if !ok {
+		return withCode(merry.Prependf(mill.ErrNotFound, "method %q", rpc))
+	}
+
+	return method(stream)
+}
+
+// Serve answers calls on the listener until the context ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	server := drpcserver.NewWithOptions(s, drpcserver.Options{Manager: managerOptions()})
+
+	return server.Serve(ctx, listener)
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageSize},
+	}
+}
--- /dev/null
+++ b/pkg/mill/epoch.go
@@ -0,0 +1,62 @@
+package mill
+
+import "slices"
+
+// Member is one copy of a ledger; a copy that lost its content comes back with another identity.
+type Member struct {
+	VM       string `json:"vm"`
+	Identity string `json:"identity"`
+	Address  string `json:"address"`
+	Durable  bool   `json:"durable"`
+}
+
+// Epoch states who replicates a ledger and who is its primary.
+type Epoch struct {
+	Ledger   string   `json:"ledger"`
+	Number   uint64   `json:"number"`
+	Primary  Member   `json:"primary"`
+	Replicas []Member `json:"replicas"`
+}
+
+// Has reports whether the identity is one of the replicas.
+func (e *Epoch) Has(identity string) bool {
+	return slices.ContainsFunc(e.Replicas, func(m Member) bool { return m.Identity == identity })
+}
+
+// Durable reports whether any replica syncs to a disk.
+func (e *Epoch) Durable() bool {
+	return slices.ContainsFunc(e.Replicas, func(m Member) bool { return m.Durable })
+}
+
+// With returns the epoch that follows e with a replica added.
+func (e *Epoch) With(member Member) Epoch {
+	next := e.next()
+	next.Replicas = append(next.Replicas, member)
+
+	return next
+}
+
+// Without returns the epoch that follows e with a replica removed.
+func (e *Epoch) Without(identity string) Epoch {
+	next := e.next()
+	next.Replicas = slices.DeleteFunc(next.Replicas, func(m Member) bool { return m.Identity == identity })
+
+	return next
+}
+
+// LedBy returns the epoch that follows e under another primary and without the old one.
+func (e *Epoch) LedBy(primary Member) Epoch {
+	next := e.Without(e.Primary.Identity)
+	next.Primary = primary
+
+	return next
+}
+
+func (e *Epoch) next() Epoch {
+	return Epoch{
+		Ledger:   e.Ledger,
+		Number:   e.Number + 1,
+		Primary:  e.Primary,
+		Replicas: slices.Clone(e.Replicas),
+	}
+}
--- /dev/null
+++ b/pkg/mill/errors.go
@@ -0,0 +1,29 @@
+package mill
+
+import "github.com/ansel1/merry/v2"
+
+// The sentinel errors that callers of the kernel test with errors.Is.
+var (
+	// ErrNotPrimary is returned by a replica that may not accept the write.
+	ErrNotPrimary = merry.Sentinel("not the primary")
+	// ErrStaleEpoch is returned when a message carries an epoch that has been replaced.
+	ErrStaleEpoch = merry.Sentinel("stale epoch")
+	// ErrUnavailable is returned when no peer could serve the call in time.
+	ErrUnavailable = merry.Sentinel("unavailable")
+	// ErrUnreachable is returned when a peer could not be connected to, so that it got nothing.
+	ErrUnreachable = merry.Sentinel("unreachable")
+	// ErrFull is returned when a bounded ring has no room.
+	ErrFull = merry.Sentinel("ring is full")
+	// ErrConflict is returned when another change won the same version.
+	ErrConflict = merry.Sentinel("version conflict")
+	// ErrInvalid is returned for input that fails validation.
+	ErrInvalid = merry.Sentinel("invalid")
+	// ErrNotFound is returned for a name or id that is not known.
+	ErrNotFound = merry.Sentinel("not found")
+	// ErrCorrupt is returned when stored records fail their checksum before the tail.
+	ErrCorrupt = merry.Sentinel("corrupt log")
+	// ErrLocked is returned when another process holds the data folder.
+	ErrLocked = merry.Sentinel("data folder is in use")
+	// ErrNoUpstream is returned when no upstream of a service can take a request.
+	ErrNoUpstream = merry.Sentinel("no upstream can take the request")
+)
