Run the path in separate processes with stand-ins and a demo

Cause: promises can only be judged between separate processes, by records that are not the system's own.

--- /dev/null
+++ b/GNUmakefile
@@ -0,0 +1,47 @@
+.DEFAULT_GOAL := build
+
+BUILD := build
+LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+FORMATTER := mvdan.cc/gofumpt@v0.12.0
+FUZZTIME ?= 10m
+
+.PHONY: build
+build: ## Build both programs into build/.
+	go build -o $(BUILD)/cranberrymill .
+	go build -o $(BUILD)/standin ./cmd/standin
+
+.PHONY: test
+test: build ## Run every test with fixed seeds, but those that KNOWN-RED.txt lists.
+	./scripts/test.sh
+
+.PHONY: fuzz
+fuzz: ## Run the state machine tests with fresh seeds for FUZZTIME.
+	./scripts/fuzz.sh $(FUZZTIME)
+
+.PHONY: lint
+lint: $(BUILD)/golangci-lint $(BUILD)/gofumpt ## Check format and lint rules.
+	test -z "$$($(BUILD)/gofumpt -l . | tee /dev/stderr)"
+	$(BUILD)/golangci-lint run
+
+.PHONY: demo
+demo: build ## Run a deployment on loopback under load and faults; DEPLOYMENT=zilina or kalpitiya.
+	./scripts/demo.sh
+
+.PHONY: bench
+bench: ## Print the measurements to build/bench.txt.
+	mkdir -p $(BUILD)
+	go test -run '^$$' -bench . -benchtime 2s ./... | tee $(BUILD)/bench.txt
+
+.PHONY: clean
+clean: ## Remove what was built.
+	rm -rf $(BUILD)
+
+.PHONY: help
+help: ## List the targets.
+	@grep -E '^[a-z]+:.*##' GNUmakefile | sed 's/:.*## /	/'
+
+$(BUILD)/golangci-lint: GNUmakefile
+	GOBIN=$(abspath $(BUILD)) go install $(LINTER)
+
+$(BUILD)/gofumpt: GNUmakefile
+	GOBIN=$(abspath $(BUILD)) go install $(FORMATTER)
--- a/internal/cmds/cmd_status.go
+++ b/internal/cmds/cmd_status.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cranberrymill/cranberrymill/internal/entry"
@@ -15,6 +16,7 @@
 		help: "Show the system at a glance, as one entry sees it.",
 		setup: func(clause *kingpin.CmdClause) action {
 			c := newClient(clause)
+			whole := clause.Flag("whole", "Exit with 1 unless every ledger has two replicas and every voter follows a leader.").Bool()
 
 			return func(context.Context) error {
 				var status entry.StatusReply
@@ -23,8 +25,40 @@
 					return err
 				}
 
-				return show(status)
+				if err := show(status); err != nil {
+					return err
+				}
+
+				if *whole {
+					return checkWhole(&status)
+				}
+
+				return nil
 			}
 		},
 	}
 }
+
+// wholeReplicas is the number of copies that a ledger needs to survive a loss.
+const wholeReplicas = 2
+
+// checkWhole returns errRefused naming the first part that is not whole.
+func checkWhole(status *entry.StatusReply) error {
+	for i := range status.Control {
+		voter := &status.Control[i]
+		if voter.Leader == "" || len(voter.Voters) != len(status.Control) {
+			return merry.Prependf(errRefused, "voter %s follows %q with %d voters, look at its log",
+				voter.VM, voter.Leader, len(voter.Voters))
+		}
+	}
+
+	for i := range status.Ledgers {
+		ledger := &status.Ledgers[i]
+		if len(ledger.Replicas) < wholeReplicas || !ledger.Durable || ledger.Scheduler == "" {
+			return merry.Prependf(errRefused, "the ledger of %s has replicas %q, durable %t, scheduler %q, look at its stores",
+				ledger.DataCentre, ledger.Replicas, ledger.Durable, ledger.Scheduler)
+		}
+	}
+
+	return nil
+}
--- a/internal/conf/cluster.go
+++ b/internal/conf/cluster.go
@@ -85,9 +85,10 @@
 
 // Names returns the names of all VMs.
 func (c *Cluster) Names() []string {
-	var names []string
+	vms := c.VMs()
+	names := make([]string, 0, len(vms))
 
-	for _, vm := range c.VMs() {
+	for _, vm := range vms {
 		names = append(names, vm.Name)
 	}
 
--- a/internal/ctrl/messages.go
+++ b/internal/ctrl/messages.go
@@ -28,7 +28,7 @@
 	Revision uint64
 	// Leaderless is set by a server that follows no leader, so that its view may be old.
 	Leaderless bool
-	View     *View
+	View       *View
 }
 
 // AuditRequest asks for up to Limit records after a number.
--- a/internal/ctrl/watcher.go
+++ b/internal/ctrl/watcher.go
@@ -70,7 +70,7 @@
 
 // Propose commits a command through the first voter that can.
 func (w *Watcher) Propose(ctx context.Context, command *Command) (*Verdict, error) {
-	var last error = mill.ErrUnavailable
+	last := mill.ErrUnavailable
 
 	for ctx.Err() == nil {
 		for _, address := range w.addresses {
@@ -90,7 +90,7 @@
 
 // Audit returns up to limit records of the trail after a number.
 func (w *Watcher) Audit(ctx context.Context, after uint64, limit int) ([]AuditRecord, error) {
-	var last error = mill.ErrUnavailable
+	last := mill.ErrUnavailable
 
 	for _, address := range w.addresses {
 		reply, err := wire.Call[AuditRequest, AuditReply](
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -73,14 +72,14 @@
 func (e *Entry) Run(ctx context.Context) error {
 	defer e.stop()
 
-	callers, err := net.Listen("tcp", e.vm.HTTP)
+	callers, err := httpd.Listen(ctx, "vms."+e.vm.Name+".http", e.vm.HTTP)
 	if err != nil {
-		return merry.Prependf(mill.ErrInvalid, "vms.%s.http %q: %v", e.vm.Name, e.vm.HTTP, err)
+		return err
 	}
 
-	peers, err := net.Listen("tcp", e.vm.Entry)
+	peers, err := httpd.Listen(ctx, "vms."+e.vm.Name+".entry", e.vm.Entry)
 	if err != nil {
-		return merry.Prependf(mill.ErrInvalid, "vms.%s.entry %q: %v", e.vm.Name, e.vm.Entry, err)
+		return err
 	}
 
 	server := e.newServer()
--- a/internal/entry/upstreams_api.go
+++ b/internal/entry/upstreams_api.go
@@ -68,9 +68,10 @@
 }
 
 func (e *Entry) getUpstreams(ctx *fasthttp.RequestCtx, _ string) {
-	statuses := []UpstreamStatus{}
+	beats := e.table.list(time.Now())
+	statuses := make([]UpstreamStatus, 0, len(beats))
 
-	for _, b := range e.table.list(time.Now()) {
+	for _, b := range beats {
 		statuses = append(statuses, UpstreamStatus{
 			Announcement: b.told, AgeMilli: b.age.Milliseconds(), Share: b.share,
 		})
--- a/internal/entry/workers_api.go
+++ b/internal/entry/workers_api.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(e.ctx, schedTime)
 	defer cancel()
 
-	var last error = merry.Prepend(mill.ErrUnavailable, "no scheduler is active", merry.NoCaptureStack())
+	last := merry.Prepend(mill.ErrUnavailable, "no scheduler is active", merry.NoCaptureStack())
 
 	for _, vm := range e.settings.Map().In(e.vm.DataCentre()) {
 		if vm.Sched == "" {
--- /dev/null
+++ b/internal/httpd/listen.go
@@ -0,0 +1,23 @@
+package httpd
+
+import (
+	"context"
+	"net"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// Listen opens a TCP address that a settings field names, or returns
+// mill.ErrInvalid naming the field and the address.
+func Listen(ctx context.Context, field, address string) (net.Listener, error) {
+	var config net.ListenConfig
+
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, merry.Prependf(mill.ErrInvalid, "%s %q: want an address that is free on this VM: %v", field, address, err)
+	}
+
+	return listener, nil
+}
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -111,7 +111,7 @@
 func ask[Request, Reply any](
 	ctx context.Context, c *Client, ledger, method string, request *Request,
 ) (*Reply, error) {
-	var last error = merry.Prependf(mill.ErrNotFound, "ledger %q", ledger)
+	last := merry.Prependf(mill.ErrNotFound, "ledger %q", ledger)
 
 	for _, address := range c.addresses(ledger) {
 		reply, err := wire.Call[Request, Reply](ctx, c.wire, address, method, request)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -30,10 +30,10 @@
 		},
 	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "mill",
-		Tags:           map[string]string{"role": role, "vm": vm},
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
+		Prefix:          "mill",
+		Tags:            map[string]string{"role": role, "vm": vm},
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, reportTime)
 
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -97,17 +97,11 @@
 
 // Step takes a message from another server.
 func (n *Node) Step(message Message) {
-	if message.Kind == KindLearn {
-		n.stepLearn(&message)
-
-		return
-	}
-
-	if message.To != n.self.Identity {
+	if message.Kind != KindLearn && message.To != n.self.Identity {
 		return
 	}
 
-	if message.Term > n.term && !prevote(&message) {
+	if message.Term > n.term && binding(&message) {
 		n.follow(message.Term)
 	}
 
@@ -124,12 +118,19 @@
 		n.stepFromLeader(&message)
 	case KindAppendReply:
 		n.stepAppendReply(&message)
+	case KindLearn:
+		n.stepLearn(&message)
 	}
 }
 
-// prevote reports whether a message's term is only one that its sender would use.
-func prevote(message *Message) bool {
-	return message.Kind == KindPreVote || (message.Kind == KindPreVoteReply && message.Granted)
+// binding reports whether a message's term is one that has begun: a pre-vote
+// is about a term that its sender would use, and a learner is in no term.
+func binding(message *Message) bool {
+	if message.Kind == KindPreVoteReply {
+		return !message.Granted
+	}
+
+	return message.Kind != KindPreVote && message.Kind != KindLearn
 }
 
 // Take returns what is to be stored and sent.
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -12,6 +11,7 @@
 
 	"github.com/cranberrymill/cranberrymill/internal/conf"
 	"github.com/cranberrymill/cranberrymill/internal/ctrl"
+	"github.com/cranberrymill/cranberrymill/internal/httpd"
 	"github.com/cranberrymill/cranberrymill/internal/ledger"
 	"github.com/cranberrymill/cranberrymill/internal/place"
 	"github.com/cranberrymill/cranberrymill/internal/ring"
@@ -84,9 +84,9 @@
 
 // Run schedules, or stands by, until the context ends.
 func (s *Scheduler) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.vm.Sched)
+	listener, err := httpd.Listen(ctx, "vms."+s.vm.Name+".sched", s.vm.Sched)
 	if err != nil {
-		return merry.Prependf(mill.ErrInvalid, "vms.%s.sched %q: %v", s.vm.Name, s.vm.Sched, err)
+		return err
 	}
 
 	s.ledgers = ledger.NewClient(ctx, s.client, s.control, s.settings.Map().Stores())
@@ -113,7 +113,7 @@
 	for {
 		event, err := s.events.Take(ctx)
 		if err != nil {
-			return nil
+			return nil //nolint:nilerr // The context has ended, as planned.
 		}
 
 		event()
--- /dev/null
+++ b/internal/stand/load.go
@@ -0,0 +1,168 @@
+package stand
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/panjf2000/ants/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+const (
+	maxCallers   = 4096
+	maxTries     = 4
+	maxMicros    = 120_000_000
+	digits       = 3
+	percentScale = 100
+)
+
+// LoadConfig tells what callers to play.
+type LoadConfig struct {
+	Entries  string
+	Service  string
+	Rate     float64
+	Duration time.Duration
+	Keyed    int
+	Deadline time.Duration
+	Seed     uint64
+	Run      string
+	Records  string
+}
+
+// Load plays callers that send at a set rate whatever the answers do.
+type Load struct {
+	config    LoadConfig
+	balancer  *balancer
+	client    *fasthttp.Client
+	mu        sync.Mutex
+	records   []RequestRecord
+	histogram *hdrhistogram.Histogram
+}
+
+// NewLoad returns callers that are not running yet.
+func NewLoad(config LoadConfig) *Load {
+	return &Load{
+		config:   config,
+		balancer: newBalancer(config.Entries),
+		client: &fasthttp.Client{
+			MaxConnsPerHost:           maxCallers,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
+				return false, false
+			},
+			DisableHeaderNamesNormalizing: true,
+		},
+		histogram: hdrhistogram.New(1, maxMicros, digits),
+	}
+}
+
+// Run sends for the set time, waits for the answers and writes the records.
+func (l *Load) Run(ctx context.Context) error {
+	pool, err := ants.NewPool(maxCallers)
+	if err != nil {
+		return err
+	}
+
+	defer pool.Release()
+
+	var pending sync.WaitGroup
+
+	random := rand.New(rand.NewPCG(l.config.Seed, l.config.Seed))
+	started := time.Now()
+	count := int(l.config.Rate * l.config.Duration.Seconds())
+
+	for i := range count {
+		intended := started.Add(time.Duration(float64(i) / l.config.Rate * float64(time.Second)))
+		keyed := random.IntN(percentScale) < l.config.Keyed
+
+		if !sleepUntil(ctx, intended) {
+			break
+		}
+
+		pending.Add(1)
+
+		if err := pool.Submit(func() {
+			defer pending.Done()
+			l.request(i, keyed, intended)
+		}); err != nil {
+			return err
+		}
+	}
+
+	pending.Wait()
+
+	return writeRecords(l.config.Records, l.records)
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// request sends one request, and again through another entry when the
+// connection broke: a keyed one under its key, another one as a new request.
+func (l *Load) request(at int, keyed bool, intended time.Time) {
+	record := RequestRecord{Keyed: keyed, Outcome: string(mill.OutcomeUnknown)}
+
+	for try := range maxTries {
+		record.ID = fmt.Sprintf("%s-%d-%d", l.config.Run, at, try)
+		if keyed {
+			record.ID = fmt.Sprintf("%s-%d", l.config.Run, at)
+		}
+
+		record.Tries = try + 1
+
+		if l.send(&record) {
+			break
+		}
+	}
+
+	record.Micros = time.Since(intended).Microseconds()
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.records = append(l.records, record)
+	_ = l.histogram.RecordValue(min(record.Micros, maxMicros))
+}
+
+// send reports whether an entry answered.
+func (l *Load) send(record *RequestRecord) bool {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+
+	request.SetRequestURI("http://" + l.balancer.pick() + "/" + l.config.Service + "/" + record.ID)
+	request.Header.Set(mill.HeaderRequestID, record.ID)
+	request.Header.Set(mill.HeaderDeadline, fmt.Sprint(l.config.Deadline.Milliseconds()))
+
+	if record.Keyed {
+		request.Header.SetMethod(fasthttp.MethodPost)
+		request.Header.Set(mill.HeaderIdempotencyKey, record.ID)
+		request.SetBodyString(record.ID)
+	}
+
+	if err := l.client.DoTimeout(request, response, l.config.Deadline+callTime); err != nil {
+		return false
+	}
+
+	record.Outcome = string(response.Header.Peek(mill.HeaderOutcome))
+	record.Status = response.StatusCode()
+
+	return true
+}
--- /dev/null
+++ b/internal/stand/record.go
@@ -0,0 +1,92 @@
+package stand
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+)
+
+// RequestRecord is what a caller noted of one request.
+type RequestRecord struct {
+	ID      string `json:"id"`
+	Keyed   bool   `json:"keyed"`
+	Outcome string `json:"outcome"`
+	Status  int    `json:"status"`
+	Micros  int64  `json:"micros"`
+	Tries   int    `json:"tries"`
+}
+
+// RunRecord is what an upstream noted of one request.
+type RunRecord struct {
+	ID   string `json:"id"`
+	Runs int    `json:"runs"`
+}
+
+// LoadRecord is what an upstream noted of its slots.
+type LoadRecord struct {
+	Upstream string `json:"upstream"`
+	Slots    int    `json:"slots"`
+	Peak     int    `json:"peak"`
+	Served   int    `json:"served"`
+}
+
+// TaskRecord is what a worker noted of one attempt at a task.
+type TaskRecord struct {
+	Worker     string `json:"worker"`
+	Job        string `json:"job"`
+	Index      int    `json:"index"`
+	Attempt    int    `json:"attempt"`
+	StartMicro int64  `json:"startMicro"`
+	EndMicro   int64  `json:"endMicro"`
+	State      string `json:"state"`
+}
+
+// writeRecords writes a line of JSON for each record.
+func writeRecords[T any](path string, records []T) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+
+	writer := bufio.NewWriter(file)
+	encoder := json.NewEncoder(writer)
+
+	for i := range records {
+		if err := encoder.Encode(&records[i]); err != nil {
+			return errors.Join(err, file.Close())
+		}
+	}
+
+	return errors.Join(writer.Flush(), file.Close())
+}
+
+// readRecords reads what writeRecords wrote.
+func readRecords[T any](path string) ([]T, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+
+	defer func() { _ = file.Close() }()
+
+	var records []T
+
+	decoder := json.NewDecoder(file)
+
+	for {
+		var record T
+
+		err := decoder.Decode(&record)
+		if errors.Is(err, io.EOF) {
+			return records, nil
+		}
+
+		if err != nil {
+			return nil, err
+		}
+
+		records = append(records, record)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"path/filepath"
 
 	"github.com/ansel1/merry/v2"
@@ -14,6 +13,7 @@
 	"github.com/cranberrymill/cranberrymill/internal/conf"
 	"github.com/cranberrymill/cranberrymill/internal/ctrl"
 	"github.com/cranberrymill/cranberrymill/internal/disk"
+	"github.com/cranberrymill/cranberrymill/internal/httpd"
 	"github.com/cranberrymill/cranberrymill/internal/ledger"
 	"github.com/cranberrymill/cranberrymill/internal/raft"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
@@ -49,9 +49,9 @@
 func (s *Store) Run(ctx context.Context) error {
 	defer s.close()
 
-	listener, err := net.Listen("tcp", s.vm.Store)
+	listener, err := httpd.Listen(ctx, "vms."+s.vm.Name+".store", s.vm.Store)
 	if err != nil {
-		return merry.Prependf(mill.ErrInvalid, "vms.%s.store %q: %v", s.vm.Name, s.vm.Store, err)
+		return err
 	}
 
 	group, ctx := errgroup.WithContext(ctx)
