Fuzz the ledger's replication, and mend three faults it found

Cause: the replication of a ledger had only been seen in normal running. A state machine test with kills at every point of a write, freezes, one-way cuts, lost disks, lost and doubled messages and late epochs found: - a primary that restarts and hears of an epoch older than its vow led it alone and committed beside its successor. SetEpoch now refuses what the vow is past. - a refusal of an old wish, arriving late, made the primary of a newer epoch step down for good. A refusal now counts only for the wish it is about. - replicas kept their peers in a map, so that a failing run could not be repeated. They are kept in order now.

Ruled out: that the first failures came from the harness alone; one did (entries compared after compaction), and the comparison now takes the entry from the moment of its commit.

--- a/internal/ledger/node.go
+++ b/internal/ledger/node.go
@@ -239,14 +239,14 @@
 }
 
 func (n *Node) answer(applied *Applied) {
-	w, ok := n.waiters[applied.Index]
+	w, ok := n.waiters[applied.Entry.Index]
 	if !ok {
 		return
 	}
 
-	delete(n.waiters, applied.Index)
+	delete(n.waiters, applied.Entry.Index)
 
-	if w.ballot != applied.Ballot {
+	if w.ballot != applied.Entry.Ballot {
 		w.reply <- proposed{err: mill.ErrUnavailable}
 
 		return
@@ -282,7 +282,7 @@
 			log.Info().Str("ledger", n.ledger).Uint64("epoch", epoch.Number).Str("reason", verdict.Reason).
 				Msg("epoch refused")
 
-			n.retryDo(n.replica.WishRefused)
+			n.retryDo(func() { n.replica.WishRefused(epoch) })
 		}
 
 		return
--- a/internal/ledger/peer.go
+++ b/internal/ledger/peer.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "github.com/cranberrymill/cranberrymill/pkg/mill"
+import (
+	"slices"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
 
 // peer is what a primary knows of another copy of its ledger.
 type peer struct {
@@ -16,6 +20,29 @@
 	stalled int
 }
 
+// peers holds the other copies in the order in which they were added.
+type peers struct {
+	list []*peer
+}
+
+func (p *peers) find(identity string) (*peer, bool) {
+	for _, one := range p.list {
+		if one.member.Identity == identity {
+			return one, true
+		}
+	}
+
+	return nil, false
+}
+
+func (p *peers) add(one *peer) {
+	p.list = append(p.list, one)
+}
+
+func (p *peers) remove(identity string) {
+	p.list = slices.DeleteFunc(p.list, func(one *peer) bool { return one.member.Identity == identity })
+}
+
 func newPeer(member mill.Member, next uint64) *peer {
 	return &peer{member: member, next: next}
 }
--- a/internal/ledger/primary.go
+++ b/internal/ledger/primary.go
@@ -1,13 +1,17 @@
 package ledger
 
-import "github.com/cranberrymill/cranberrymill/pkg/mill"
+import (
+	"slices"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
 
 func (r *Replica) tickPrimary() {
-	for identity, p := range r.peers {
+	for _, p := range slices.Clone(r.peers.list) {
 		p.quiet++
 
 		if p.quiet > suspectTicks {
-			r.suspect(identity, p)
+			r.suspect(p)
 		}
 
 		r.retry(p)
@@ -18,19 +22,19 @@
 // suspect drops a silent learner and asks for an epoch without a silent
 // replica. A learner that an unanswered wish names stays counted, since the
 // control log may yet accept it.
-func (r *Replica) suspect(identity string, p *peer) {
+func (r *Replica) suspect(p *peer) {
 	if r.wish != nil {
 		return
 	}
 
 	if p.learner {
-		delete(r.peers, identity)
+		r.peers.remove(p.member.Identity)
 		r.advance()
 
 		return
 	}
 
-	next := r.epoch.Without(identity)
+	next := r.epoch.Without(p.member.Identity)
 	r.wish = &next
 }
 
@@ -92,7 +96,7 @@
 }
 
 func (r *Replica) stepAck(message *Message) {
-	p, ok := r.peers[message.From.Identity]
+	p, ok := r.peers.find(message.From.Identity)
 	if !r.leading || !ok || message.Ballot != r.ballot {
 		return
 	}
@@ -136,7 +140,7 @@
 		return
 	}
 
-	p, ok := r.peers[message.From.Identity]
+	p, ok := r.peers.find(message.From.Identity)
 	if !r.leading || !ok || message.Ballot != r.ballot {
 		return
 	}
@@ -151,13 +155,13 @@
 		return
 	}
 
-	if _, ok := r.peers[message.From.Identity]; ok {
+	if _, ok := r.peers.find(message.From.Identity); ok {
 		return
 	}
 
 	p := newPeer(message.From, r.log.last()+1)
 	p.learner = true
-	r.peers[message.From.Identity] = p
+	r.peers.add(p)
 	r.sendEntries(p)
 }
 
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -18,10 +18,17 @@
 	retainedEntries = 1024
 )
 
+// limits bounds the log of a replica.
+type limits struct {
+	// compact is the number of committed entries after which a snapshot is taken.
+	compact uint64
+	// retained is the number of committed entries kept for copies that are a little behind.
+	retained uint64
+}
+
 // Applied is a committed entry with the results of its commands.
 type Applied struct {
-	Index   uint64
-	Ballot  Ballot
+	Entry   Entry
 	Results []Result
 }
 
@@ -39,7 +46,7 @@
 	saving  uint64
 	state   *State
 	leading bool
-	peers   map[string]*peer
+	peers   peers
 	quiet   int
 	ticks   int
 	wish    *mill.Epoch
@@ -48,6 +55,7 @@
 	out     drive.Output[Message]
 	vowed   bool
 	stored  uint64
+	limits  limits
 }
 
 var _ drive.Machine[Message] = (*Replica)(nil)
@@ -68,6 +76,7 @@
 		wish:   content.vow.Pledge,
 		log:    content.log,
 		state:  NewState(),
+		limits: limits{compact: compactEntries, retained: retainedEntries},
 	}
 
 	if content.snapshot != nil {
@@ -150,9 +159,11 @@
 	}
 }
 
-// SetEpoch takes the epoch that the control log holds.
+// SetEpoch takes an epoch that the control log holds or held. One that is
+// older than the vow is over, and to lead it would be to commit alone what
+// another primary does not know of.
 func (r *Replica) SetEpoch(epoch mill.Epoch) {
-	if epoch.Number <= r.epoch.Number {
+	if epoch.Number <= r.epoch.Number || epoch.Number < r.ballot.Epoch {
 		return
 	}
 
@@ -192,8 +203,13 @@
 }
 
 // WishRefused tells the replica that the control log has refused its wish. An
-// epoch after the replica's own exists then, so a primary's time is over.
-func (r *Replica) WishRefused() {
+// epoch after the replica's own exists then, so a primary's time is over. A
+// refusal that comes after that epoch is known says nothing new.
+func (r *Replica) WishRefused(refused mill.Epoch) {
+	if r.wish == nil || r.wish.Number != refused.Number {
+		return
+	}
+
 	r.wish = nil
 	r.wishing = false
 	r.quiet = 0
@@ -214,7 +230,7 @@
 	r.log.append(entry)
 	r.writeEntry(&entry)
 
-	for _, p := range r.peers {
+	for _, p := range r.peers.list {
 		r.sendEntries(p)
 	}
 
@@ -259,7 +275,7 @@
 func (r *Replica) lead(led bool) {
 	known := r.peers
 	r.leading = true
-	r.peers = make(map[string]*peer)
+	r.peers = peers{}
 	r.join(Ballot{Epoch: r.epoch.Number, Run: r.run})
 
 	for _, member := range r.epoch.Replicas {
@@ -267,7 +283,7 @@
 			continue
 		}
 
-		p, ok := known[member.Identity]
+		p, ok := known.find(member.Identity)
 		if !ok || !led {
 			p = newPeer(member, r.log.last()+1)
 		}
@@ -275,7 +291,7 @@
 		p.learner = false
 		p.counted = true
 		p.quiet = 0
-		r.peers[member.Identity] = p
+		r.peers.add(p)
 		r.sendEntries(p)
 	}
 
@@ -298,7 +314,7 @@
 		p := newPeer(member, r.log.last()+1)
 		p.learner = true
 		p.counted = true
-		r.peers[member.Identity] = p
+		r.peers.add(p)
 	}
 }
 
@@ -316,7 +332,7 @@
 func (r *Replica) advance() {
 	index := r.saved
 
-	for _, p := range r.peers {
+	for _, p := range r.peers.list {
 		if p.counted {
 			index = min(index, p.acked)
 		}
@@ -340,13 +356,13 @@
 		results[i].Index = entry.Index
 	}
 
-	r.applied = append(r.applied, Applied{Index: entry.Index, Ballot: entry.Ballot, Results: results})
+	r.applied = append(r.applied, Applied{Entry: *entry, Results: results})
 }
 
 // maybeCompact replaces a long log by a snapshot; some entries stay in memory
 // so that a copy that is a little behind needs no snapshot.
 func (r *Replica) maybeCompact() {
-	if r.commit-r.stored < compactEntries {
+	if r.commit-r.stored < r.limits.compact {
 		return
 	}
 
@@ -358,8 +374,8 @@
 	ballot, _ := r.log.ballotAt(r.commit)
 	r.writeSnapshot(r.commit, ballot, data)
 
-	if r.commit-r.log.base > retainedEntries {
-		r.log.rebase(r.commit - retainedEntries)
+	if r.commit-r.log.base > r.limits.retained {
+		r.log.rebase(r.commit - r.limits.retained)
 	}
 }
 
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -10,7 +10,7 @@
 func (n *Node) lead() {
 	n.role = leader
 	n.leader = n.self
-	n.progress = make(map[string]*progress)
+	n.progress = progresses{}
 	n.syncProgress()
 	n.add(Entry{})
 }
@@ -18,21 +18,21 @@
 // syncProgress follows the membership.
 func (n *Node) syncProgress() {
 	for _, server := range n.log.membership.Servers {
-		if server.Identity == n.self.Identity || n.progress[server.Identity] != nil {
+		if server.Identity == n.self.Identity || n.progress.find(server.Identity) != nil {
 			continue
 		}
 
-		n.progress[server.Identity] = &progress{server: server, next: n.log.last() + 1}
+		n.progress.add(&progress{server: server, next: n.log.last() + 1})
 	}
 }
 
 func (n *Node) tickLeader() {
-	for identity, p := range n.progress {
+	for _, p := range slices.Clone(n.progress.list) {
 		p.quiet++
 		p.retry()
 
-		if p.quiet > learnerTicks && !n.log.membership.Has(identity) {
-			delete(n.progress, identity)
+		if p.quiet > learnerTicks && !n.log.membership.Has(p.server.Identity) {
+			n.progress.remove(p.server.Identity)
 		}
 	}
 
@@ -47,7 +47,7 @@
 		return
 	}
 
-	for _, p := range n.progress {
+	for _, p := range n.progress.list {
 		n.sendEntries(p)
 	}
 
@@ -59,7 +59,7 @@
 	heard := 0
 
 	for _, server := range n.log.membership.Servers {
-		p := n.progress[server.Identity]
+		p := n.progress.find(server.Identity)
 		if p == nil || p.quiet <= electionTicks {
 			heard++
 		}
@@ -75,8 +75,8 @@
 		return
 	}
 
-	for identity, p := range n.progress {
-		if n.log.membership.Has(identity) || p.match < n.commit || p.server.VM == n.self.VM {
+	for _, p := range n.progress.list {
+		if n.log.membership.Has(p.server.Identity) || p.match < n.commit || p.server.VM == n.self.VM {
 			continue
 		}
 
@@ -113,7 +113,7 @@
 		if server.Identity == n.self.Identity {
 			matches = append(matches, n.saved)
 		} else {
-			matches = append(matches, n.progress[server.Identity].match)
+			matches = append(matches, n.progress.find(server.Identity).match)
 		}
 	}
 
@@ -159,8 +159,8 @@
 }
 
 func (n *Node) stepAppendReply(message *Message) {
-	p, ok := n.progress[message.From.Identity]
-	if n.role != leader || !ok || message.Term != n.term {
+	p := n.progress.find(message.From.Identity)
+	if n.role != leader || p == nil || message.Term != n.term {
 		return
 	}
 
@@ -187,11 +187,11 @@
 }
 
 func (n *Node) stepLearn(message *Message) {
-	if n.role != leader || n.progress[message.From.Identity] != nil {
+	if n.role != leader || n.progress.find(message.From.Identity) != nil {
 		return
 	}
 
 	p := &progress{server: message.From, next: n.log.last() + 1}
-	n.progress[message.From.Identity] = p
+	n.progress.add(p)
 	n.sendEntries(p)
 }
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -36,7 +36,7 @@
 	saving   uint64
 	stored   uint64
 	votes    map[string]bool
-	progress map[string]*progress
+	progress progresses
 	elapsed  int
 	timeout  int
 	ticks    int
@@ -210,7 +210,7 @@
 		n.syncProgress()
 	}
 
-	for _, p := range n.progress {
+	for _, p := range n.progress.list {
 		n.sendEntries(p)
 	}
 
