Drive the real binaries through faults, and fuzz the consensus

Cause: the path had no tests on processes, and Raft had none at all.

Found and mended: - a body over the limit was answered on a connection with unread bytes, so a caller still sending saw a reset in place of the 413.

--- a/internal/cmds/cmd_status.go
+++ b/internal/cmds/cmd_status.go
@@ -46,9 +46,9 @@
 func checkWhole(status *entry.StatusReply) error {
 	for i := range status.Control {
 		voter := &status.Control[i]
-		if voter.Leader == "" || len(voter.Voters) != len(status.Control) {
-			return merry.Prependf(errRefused, "voter %s follows %q with %d voters, look at its log",
-				voter.VM, voter.Leader, len(voter.Voters))
+		if voter.Leader == "" || !voter.Voting || len(voter.Voters) != len(status.Control) {
+			return merry.Prependf(errRefused, "voter %s follows %q, votes %t, with %d voters, look at its log",
+				voter.VM, voter.Leader, voter.Voting, len(voter.Voters))
 		}
 	}
 
--- a/internal/ctrl/messages.go
+++ b/internal/ctrl/messages.go
@@ -53,4 +53,6 @@
 	Commit   uint64
 	Revision uint64
 	Voters   []string
+	// Voting is set when the server itself, and not another one of its VM, is a voter.
+	Voting bool
 }
--- a/internal/ctrl/server.go
+++ b/internal/ctrl/server.go
@@ -230,7 +230,10 @@
 		Revision: s.state.view.Revision,
 	}
 
-	for _, server := range s.node.Membership().Servers {
+	membership := s.node.Membership()
+	status.Voting = membership.Has(s.self.Identity)
+
+	for _, server := range membership.Servers {
 		status.Voters = append(status.Voters, server.VM)
 	}
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -171,7 +171,7 @@
 	return &fasthttp.Server{
 		Handler:                       e.handle,
 		ErrorHandler:                  e.refuseMalformed,
-		MaxRequestBodySize:            e.settings.Limits.BodyBytes,
+		StreamRequestBody:             true,
 		DisableHeaderNamesNormalizing: true,
 		NoDefaultServerHeader:         true,
 		NoDefaultContentType:          true,
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -11,7 +11,7 @@
 
 // handle answers one HTTP request.
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
-	if e.health.Handle(ctx) {
+	if e.health.Handle(ctx) || !e.readBody(ctx) {
 		return
 	}
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -22,16 +22,8 @@
 )
 
 // refuseMalformed answers what is no request that could be passed on.
-func (e *Entry) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
-	status := fasthttp.StatusBadRequest
-	reason := "malformed request"
-
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		status = fasthttp.StatusRequestEntityTooLarge
-		reason = "body is larger than " + strconv.Itoa(e.settings.Limits.BodyBytes) + " bytes"
-	}
-
-	e.answer(ctx, notRun(status, reason))
+func (e *Entry) refuseMalformed(ctx *fasthttp.RequestCtx, _ error) {
+	e.answer(ctx, notRun(fasthttp.StatusBadRequest, "malformed request"))
 }
 
 // serve answers one request of a caller.
--- a/internal/entry/status_api.go
+++ b/internal/entry/status_api.go
@@ -32,6 +32,7 @@
 	Term     uint64   `json:"term"`
 	Revision uint64   `json:"revision"`
 	Voters   []string `json:"voters"`
+	Voting   bool     `json:"voting"`
 }
 
 // LedgerStatus is what the copies say of one ledger.
@@ -85,6 +86,7 @@
 			Term:     replies[i].Term,
 			Revision: replies[i].Revision,
 			Voters:   replies[i].Voters,
+			Voting:   replies[i].Voting,
 		})
 	}
 
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -1,6 +1,8 @@
 package raft
 
 // campaign asks whether an election could be won before it disturbs the term.
+// The membership that makes this server a voter may have been replaced, so it
+// also asks for admission: a leader that knows it takes no notice of that.
 func (n *Node) campaign() {
 	n.role = preCandidate
 	n.leader = Server{}
@@ -14,6 +16,7 @@
 	}
 
 	n.askForVotes(KindPreVote, n.term+1)
+	n.askToLearn()
 }
 
 // stand votes for itself in a new term and asks the others to.
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -7,6 +7,10 @@
 		return
 	}
 
+	n.askToLearn()
+}
+
+func (n *Node) askToLearn() {
 	for _, server := range n.peers {
 		n.sendEarly(server, Message{Kind: KindLearn})
 	}
--- /dev/null
+++ b/internal/raft/fuzz_test.go
@@ -0,0 +1,273 @@
+package raft
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// healRounds is enough for an election, catch-up and the admission of every server.
+const healRounds = 400
+
+// TestFuzzOneLog draws kills, freezes, cuts, lost disks, lost and doubled
+// messages, and checks that no term has two leaders, that no two servers apply
+// different entries at an index, and that the consensus works again, with every
+// server a voter, once the faults end.
+func TestFuzzOneLog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.SampledFrom(sizes).Draw(t, "servers")...)
+		w.heal(rapid.SampledFrom([]int{20, 150, 150, 150}).Draw(t, "start"))
+
+		draw := &drawer{w: w, name: rapid.SampledFrom(w.names)}
+
+		t.Repeat(map[string]func(*rapid.T){
+			"propose":      draw.propose,
+			"proposeAgain": draw.propose,
+			"rounds":       draw.rounds,
+			"moreRounds":   draw.rounds,
+			"deliver":      draw.deliver,
+			"deliverMore":  draw.deliver,
+			"duplicate":    draw.duplicate,
+			"drop":         draw.drop,
+			"wait":         draw.wait,
+			"kill":         draw.kill,
+			"restart":      draw.restart,
+			"restartMore":  draw.restart,
+			"crashSoon":    draw.crashSoon,
+			"loseDisk":     draw.loseDisk,
+			"freeze":       draw.freeze,
+			"thaw":         draw.thaw,
+			"cut":          draw.cut,
+			"isolate":      draw.isolate,
+			"mend":         draw.mend,
+			"killLeader":   draw.killLeader,
+			"isolateLead":  draw.isolateLeader,
+			"proposeAlone": draw.proposeAlone,
+		})
+
+		w.checkWorksAgain()
+	})
+}
+
+func (w *world) checkWorksAgain() {
+	w.heal(healRounds)
+
+	leading := w.leading()
+	if len(leading) != 1 {
+		w.t.Fatalf("leaders %v after the faults have ended", leading)
+	}
+
+	node := w.servers[leading[0]].node
+	if len(node.Membership().Servers) != len(w.names) {
+		w.t.Fatalf("voters %v after the faults have ended", node.Membership())
+	}
+
+	before := node.Commit()
+
+	w.propose(leading[0])
+
+	for range 10 {
+		w.round()
+	}
+
+	for _, name := range w.names {
+		if w.servers[name].node.Commit() <= before {
+			w.t.Fatalf("%s has commit %d, the leader had %d", name, w.servers[name].node.Commit(), before)
+		}
+	}
+}
+
+func TestCatchesUpAfterHundredsOfChanges(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.heal(healRounds)
+
+	leader := w.leading()[0]
+	behind := w.names[0]
+
+	if behind == leader {
+		behind = w.names[1]
+	}
+
+	w.stop(behind)
+
+	for range 500 {
+		w.propose(leader)
+		w.round()
+	}
+
+	assert.Assert(t, w.servers[leader].node.log.base > 400)
+	w.heal(healRounds)
+	assert.Equal(t, w.servers[behind].node.Commit(), w.servers[leader].node.Commit())
+	assert.DeepEqual(t, w.servers[behind].state.applied, w.servers[leader].state.applied)
+}
+
+func TestIsolatedServerDoesNotDisturb(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.heal(healRounds)
+
+	leader := w.leading()[0]
+	term := w.servers[leader].node.Term()
+	alone := w.names[0]
+
+	if alone == leader {
+		alone = w.names[1]
+	}
+
+	for _, other := range w.names {
+		w.cut[w.link(alone, other)] = true
+		w.cut[w.link(other, alone)] = true
+	}
+
+	for range healRounds {
+		w.round()
+	}
+
+	w.heal(healRounds)
+	assert.DeepEqual(t, w.leading(), []string{leader})
+	assert.Equal(t, w.servers[leader].node.Term(), term)
+}
+
+func TestEmptiedFolderIsAnotherVoter(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.heal(healRounds)
+
+	lost := w.servers["b"].disk.identity
+	w.loseDisk("b")
+	w.heal(healRounds)
+
+	membership := w.servers[w.leading()[0]].node.Membership()
+	assert.Equal(t, len(membership.Servers), 3)
+	assert.Assert(t, !membership.Has(lost))
+	assert.Assert(t, membership.Has(w.servers["b"].disk.identity))
+}
+
+var sizes = [][]string{{"a", "b", "c"}, {"a", "b", "c"}, {"a", "b", "c", "d", "e"}}
+
+// drawer draws what happens next in a world.
+type drawer struct {
+	w    *world
+	name *rapid.Generator[string]
+}
+
+var someRounds = rapid.SampledFrom([]int{1, 2, 4, 8, 20, 40})
+
+func (d *drawer) propose(t *rapid.T) {
+	leading := d.w.leading()
+	if len(leading) == 0 {
+		return
+	}
+
+	who := rapid.SampledFrom(leading).Draw(t, "leader")
+
+	for range rapid.IntRange(1, 4).Draw(t, "count") {
+		d.w.propose(who)
+	}
+}
+
+func (d *drawer) rounds(t *rapid.T) {
+	for range someRounds.Draw(t, "rounds") {
+		d.w.round()
+	}
+}
+
+func (d *drawer) wait(t *rapid.T) {
+	who := d.name.Draw(t, "name")
+
+	for range someRounds.Draw(t, "ticks") {
+		d.w.tick(who)
+	}
+}
+
+func (d *drawer) deliver(t *rapid.T) {
+	if len(d.w.network) > 0 {
+		d.w.deliver(rapid.IntRange(0, len(d.w.network)-1).Draw(t, "at"), false)
+	}
+}
+
+func (d *drawer) duplicate(t *rapid.T) {
+	if len(d.w.network) > 0 {
+		d.w.deliver(rapid.IntRange(0, len(d.w.network)-1).Draw(t, "at"), true)
+	}
+}
+
+func (d *drawer) drop(t *rapid.T) {
+	if len(d.w.network) > 0 {
+		at := rapid.IntRange(0, len(d.w.network)-1).Draw(t, "at")
+		d.w.network = append(d.w.network[:at], d.w.network[at+1:]...)
+	}
+}
+
+func (d *drawer) kill(t *rapid.T) { d.w.stop(d.name.Draw(t, "name")) }
+
+func (d *drawer) restart(t *rapid.T) {
+	if name := d.name.Draw(t, "name"); d.w.servers[name].node == nil {
+		d.w.start(name)
+	}
+}
+
+func (d *drawer) crashSoon(t *rapid.T) {
+	points := []crashPoint{crashBeforeSave, crashAfterSave}
+	d.w.servers[d.name.Draw(t, "name")].crash = rapid.SampledFrom(points).Draw(t, "point")
+}
+
+func (d *drawer) loseDisk(t *rapid.T) {
+	if name := d.name.Draw(t, "name"); d.w.lossAllowed(name) {
+		d.w.loseDisk(name)
+		d.w.start(name)
+	}
+}
+
+func (d *drawer) freeze(t *rapid.T) { d.w.servers[d.name.Draw(t, "name")].frozen = true }
+func (d *drawer) thaw(t *rapid.T)   { d.w.servers[d.name.Draw(t, "name")].frozen = false }
+func (d *drawer) mend(*rapid.T)     { clear(d.w.cut) }
+
+func (d *drawer) cut(t *rapid.T) {
+	d.w.cut[d.w.link(d.name.Draw(t, "from"), d.name.Draw(t, "to"))] = true
+}
+
+func (d *drawer) killLeader(*rapid.T) {
+	for _, name := range d.w.leading() {
+		d.w.stop(name)
+	}
+}
+
+func (d *drawer) isolateLeader(*rapid.T) {
+	for _, name := range d.w.leading() {
+		d.cutOff(name)
+	}
+}
+
+// proposeAlone has a leader store an entry that reaches one other server at most.
+func (d *drawer) proposeAlone(t *rapid.T) {
+	leading := d.w.leading()
+	if len(leading) == 0 {
+		return
+	}
+
+	reached := d.name.Draw(t, "reached")
+	before := len(d.w.network)
+
+	d.w.propose(leading[0])
+
+	sent := d.w.network[min(before, len(d.w.network)):]
+	d.w.network = d.w.network[:len(d.w.network)-len(sent)]
+
+	for _, message := range sent {
+		if message.Address == reached {
+			d.w.network = append(d.w.network, message)
+			d.w.deliver(len(d.w.network)-1, false)
+		}
+	}
+}
+
+func (d *drawer) isolate(t *rapid.T) {
+	d.cutOff(d.name.Draw(t, "name"))
+}
+
+func (d *drawer) cutOff(name string) {
+	for _, other := range d.w.names {
+		d.w.cut[d.w.link(name, other)] = true
+		d.w.cut[d.w.link(other, name)] = true
+	}
+}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -20,6 +20,14 @@
 	retainedEntries = 256
 )
 
+// limits bounds the log of a server.
+type limits struct {
+	// compact is the number of committed entries after which a snapshot is taken.
+	compact uint64
+	// retained is the number of committed entries kept for servers that are a little behind.
+	retained uint64
+}
+
 // Node is one server of the consensus: a drive.Machine without input or output.
 type Node struct {
 	self     Server
@@ -42,6 +50,7 @@
 	ticks    int
 	out      drive.Output[Message]
 	hasVote  bool
+	limits   limits
 }
 
 var _ drive.Machine[Message] = (*Node)(nil)
@@ -62,6 +71,7 @@
 		term:     content.vote.Term,
 		votedFor: content.vote.For,
 		log:      content.log,
+		limits:   limits{compact: compactEntries, retained: retainedEntries},
 	}
 
 	if content.snapshot != nil {
@@ -248,7 +258,7 @@
 }
 
 func (n *Node) maybeCompact() {
-	if n.commit-n.stored < compactEntries {
+	if n.commit-n.stored < n.limits.compact {
 		return
 	}
 
@@ -259,8 +269,8 @@
 
 	n.writeSnapshot(snapshot)
 
-	if n.commit-n.log.base > retainedEntries {
-		n.log.rebase(n.commit - retainedEntries)
+	if n.commit-n.log.base > n.limits.retained {
+		n.log.rebase(n.commit - n.limits.retained)
 	}
 }
 
--- /dev/null
+++ b/internal/raft/world_test.go
@@ -0,0 +1,346 @@
+package raft
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cranberrymill/cranberrymill/internal/seeds"
+)
+
+func TestMain(m *testing.M) {
+	seeds.Exit(m.Run)
+}
+
+// fakeDisk is a storage whose content outlives a crash.
+type fakeDisk struct {
+	identity string
+	snapshot []byte
+	records  [][]byte
+}
+
+func (d *fakeDisk) Load() ([]byte, [][]byte, error) { return d.snapshot, slices.Clone(d.records), nil }
+
+func (d *fakeDisk) Append(records ...[]byte) error {
+	d.records = append(d.records, records...)
+
+	return nil
+}
+
+func (d *fakeDisk) Compact(snapshot []byte, records ...[]byte) error {
+	d.snapshot = snapshot
+	d.records = slices.Clone(records)
+
+	return nil
+}
+
+func (d *fakeDisk) Durable() bool    { return true }
+func (d *fakeDisk) Identity() string { return d.identity }
+func (d *fakeDisk) Close() error     { return nil }
+
+// crashPoint says where in writing its output a server dies.
+type crashPoint int
+
+const (
+	crashNever crashPoint = iota
+	crashBeforeSave
+	crashAfterSave
+)
+
+// fakeMachine is a state machine that remembers what was applied.
+type fakeMachine struct {
+	w       *world
+	applied []string
+}
+
+func (m *fakeMachine) Apply(index uint64, data []byte) {
+	m.applied = append(m.applied, string(data))
+	m.w.check(index, string(data))
+}
+
+func (m *fakeMachine) Save() ([]byte, error) { return []byte(strings.Join(m.applied, "\n")), nil }
+
+func (m *fakeMachine) Load(data []byte) error {
+	m.applied = nil
+	if len(data) > 0 {
+		m.applied = strings.Split(string(data), "\n")
+	}
+
+	return nil
+}
+
+// server is one server in the world; node is nil while it is down.
+type server struct {
+	name   string
+	disk   *fakeDisk
+	node   *Node
+	state  *fakeMachine
+	frozen bool
+	crash  crashPoint
+}
+
+// failer is a test, or a check of a test.
+type failer interface {
+	Fatalf(format string, arguments ...any)
+}
+
+// world is a consensus whose servers and links fail as the test draws.
+type world struct {
+	t        failer
+	names    []string
+	servers  map[string]*server
+	network  []Message
+	cut      map[string]bool
+	lives    int
+	sequence int
+	// committed is the log that any server has applied, by index.
+	committed map[uint64]string
+	// leaders holds the identity of the leader of each term.
+	leaders map[uint64]string
+}
+
+func newWorld(t failer, names ...string) *world {
+	w := &world{
+		t:         t,
+		names:     names,
+		servers:   make(map[string]*server),
+		cut:       make(map[string]bool),
+		committed: make(map[uint64]string),
+		leaders:   make(map[uint64]string),
+	}
+
+	for _, name := range names {
+		w.servers[name] = &server{name: name}
+		w.newDisk(name)
+	}
+
+	first := w.servers[names[0]]
+	if _, err := Bootstrap(first.disk, w.serverOf(first)); err != nil {
+		t.Fatalf("bootstrap: %v", err)
+	}
+
+	for _, name := range names {
+		w.start(name)
+	}
+
+	return w
+}
+
+func (w *world) newDisk(name string) {
+	w.lives++
+	w.servers[name].disk = &fakeDisk{identity: fmt.Sprintf("%s%d", name, w.lives)}
+}
+
+func (w *world) serverOf(s *server) Server {
+	return Server{VM: s.name, Identity: s.disk.identity, Address: s.name}
+}
+
+func (w *world) start(name string) {
+	s := w.servers[name]
+
+	var peers []Server
+
+	for _, other := range w.names {
+		if other != name {
+			peers = append(peers, Server{VM: other, Address: other})
+		}
+	}
+
+	w.sequence++
+	s.state = &fakeMachine{w: w}
+
+	node, err := Open(w.serverOf(s), peers, s.disk, s.state, uint64(w.sequence))
+	if err != nil {
+		w.t.Fatalf("open %s: %v", name, err)
+	}
+
+	node.limits = limits{compact: 12, retained: 3}
+	s.node = node
+	s.frozen = false
+	s.crash = crashNever
+	w.settle(s)
+}
+
+func (w *world) stop(name string) {
+	w.servers[name].node = nil
+}
+
+// loseDisk empties the data folder of a server that must be down for that.
+func (w *world) loseDisk(name string) {
+	w.stop(name)
+	w.newDisk(name)
+}
+
+func (w *world) settle(s *server) {
+	for s.node != nil {
+		output := s.node.Take()
+		if output.Empty() {
+			break
+		}
+
+		w.send(output.Early)
+
+		if s.crash == crashBeforeSave {
+			s.node = nil
+
+			return
+		}
+
+		if output.Snapshot != nil {
+			_ = s.disk.Compact(output.Snapshot, output.Records...)
+		} else {
+			_ = s.disk.Append(output.Records...)
+		}
+
+		if s.crash == crashAfterSave {
+			s.node = nil
+
+			return
+		}
+
+		s.node.Saved()
+		w.send(output.Late)
+	}
+
+	w.checkLeader(s)
+}
+
+func (w *world) send(messages []Message) {
+	const maxNetwork = 200
+
+	for _, message := range messages {
+		if len(w.network) < maxNetwork {
+			w.network = append(w.network, message)
+		}
+	}
+}
+
+// check compares what is applied at an index with what any server has applied there.
+func (w *world) check(index uint64, data string) {
+	known, ok := w.committed[index]
+	if ok && known != data {
+		w.t.Fatalf("another entry is committed at %d than was before", index)
+	}
+
+	w.committed[index] = data
+}
+
+// checkLeader expects one leader in a term at the most.
+func (w *world) checkLeader(s *server) {
+	if s.node == nil || !s.node.Leading() {
+		return
+	}
+
+	known, ok := w.leaders[s.node.Term()]
+	if ok && known != s.disk.identity {
+		w.t.Fatalf("two leaders in term %d", s.node.Term())
+	}
+
+	w.leaders[s.node.Term()] = s.disk.identity
+}
+
+func (w *world) link(from, to string) string { return from + ">" + to }
+
+func (w *world) deliver(at int, keep bool) {
+	message := w.network[at]
+	if !keep {
+		w.network = slices.Delete(w.network, at, at+1)
+	}
+
+	s := w.servers[message.Address]
+	if s == nil || s.node == nil || s.frozen || w.cut[w.link(message.From.VM, message.Address)] {
+		return
+	}
+
+	s.node.Step(message)
+	w.settle(s)
+}
+
+func (w *world) tick(name string) {
+	s := w.servers[name]
+	if s.node == nil || s.frozen {
+		return
+	}
+
+	s.node.Tick()
+	w.settle(s)
+}
+
+func (w *world) round() {
+	for _, name := range w.names {
+		w.tick(name)
+	}
+
+	for range len(w.network) {
+		w.deliver(0, false)
+	}
+}
+
+func (w *world) heal(rounds int) {
+	clear(w.cut)
+
+	for _, name := range w.names {
+		w.servers[name].frozen = false
+		w.servers[name].crash = crashNever
+
+		if w.servers[name].node == nil {
+			w.start(name)
+		}
+	}
+
+	for range rounds {
+		w.round()
+	}
+}
+
+// propose adds an entry at a server that takes itself for the leader.
+func (w *world) propose(name string) bool {
+	s := w.servers[name]
+	if s.node == nil || s.frozen {
+		return false
+	}
+
+	w.sequence++
+	_, _, err := s.node.Propose([]byte(fmt.Sprintf("entry%d", w.sequence)))
+	w.settle(s)
+
+	return err == nil
+}
+
+func (w *world) leading() []string {
+	var names []string
+
+	for _, name := range w.names {
+		if s := w.servers[name]; s.node != nil && s.node.Leading() {
+			names = append(names, name)
+		}
+	}
+
+	return names
+}
+
+// lossAllowed reports whether a majority of the latest membership that any
+// server knows of would still have its disk after another loss. More than that
+// no consensus can survive, so the test does not draw it.
+func (w *world) lossAllowed(name string) bool {
+	for _, other := range w.names {
+		if s := w.servers[other]; s.node == nil || !w.quorumWithout(s.node.log.membership, name) {
+			return false
+		}
+	}
+
+	return true
+}
+
+func (w *world) quorumWithout(membership Membership, lost string) bool {
+	left := 0
+
+	for _, name := range w.names {
+		if name != lost && membership.Has(w.servers[name].disk.identity) {
+			left++
+		}
+	}
+
+	return left >= membership.Quorum()
+}
--- /dev/null
+++ b/test/scene/faults_test.go
@@ -0,0 +1,210 @@
+package scene
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrymill/cranberrymill/internal/entry"
+)
+
+// TestKeyedThroughFaults loses the backup, the primary, a whole data folder and
+// the entry that holds a request, and expects every key to run once at most.
+func TestKeyedThroughFaults(t *testing.T) {
+	s := newSystem(t, 1, 3, 3)
+	s.boot()
+
+	first, second := s.vms[0].HTTP, s.vms[1].HTTP
+	u := newUpstream(t)
+	u.keepAnnouncing(t, "booking", first, second)
+
+	await(t, "a keyed request runs", func() bool {
+		return send(t, http.MethodPost, first, "/booking/x", "before", "a").outcome == "ran"
+	})
+
+	t.Run("another entry replays", func(t *testing.T) {
+		again := send(t, http.MethodPost, second, "/booking/x", "before", "a")
+		assert.Equal(t, again.outcome, "ran")
+		assert.Assert(t, again.replayed)
+	})
+
+	t.Run("the primary is killed", func(t *testing.T) {
+		primary := s.status().Ledgers[0].Primary
+		s.live[primary].store.kill()
+		assert.NilError(t, os.RemoveAll(filepath.Join(s.folder, "data", primary)))
+
+		await(t, "a keyed request runs without it", func() bool {
+			return send(t, http.MethodPost, first, "/booking/x", "after", "a").outcome == "ran"
+		})
+
+		again := send(t, http.MethodPost, second, "/booking/x", "before", "a")
+		assert.Equal(t, again.outcome, "ran")
+		assert.Assert(t, again.replayed)
+
+		s.startStore(primary)
+		s.awaitWhole()
+	})
+
+	t.Run("a second one right after the repair", func(t *testing.T) {
+		primary := s.status().Ledgers[0].Primary
+		s.live[primary].store.kill()
+
+		await(t, "a keyed request runs without it", func() bool {
+			return send(t, http.MethodPost, first, "/booking/x", "later", "a").outcome == "ran"
+		})
+
+		again := send(t, http.MethodPost, second, "/booking/x", "before", "a")
+		assert.Equal(t, again.outcome, "ran")
+		assert.Assert(t, again.replayed)
+		s.startStore(primary)
+	})
+
+	t.Run("the entry dies with the request in flight", func(t *testing.T) {
+		release := u.hold()
+
+		go send(t, http.MethodPost, second, "/booking/x", "orphan", "a")
+
+		await(t, "the upstream has it", func() bool { return u.count("orphan") == 1 })
+		s.live[s.vms[1].Name].entry.kill()
+
+		again := send(t, http.MethodPost, first, "/booking/x", "orphan", "a")
+		assert.Equal(t, again.outcome, "unknown")
+		assert.Equal(t, again.status, http.StatusGatewayTimeout)
+		release()
+	})
+
+	for _, key := range []string{"before", "after", "later", "orphan"} {
+		assert.Equal(t, u.count(key), 1, key)
+	}
+}
+
+// TestFrozenPrimary stops the primary of a ledger with SIGSTOP, and expects its
+// writes to be refused once it goes on.
+func TestFrozenPrimary(t *testing.T) {
+	s := newSystem(t, 1, 3, 3)
+	s.boot()
+
+	at := s.vms[0].HTTP
+	u := newUpstream(t)
+	u.keepAnnouncing(t, "booking", at)
+
+	await(t, "a keyed request runs", func() bool {
+		return send(t, http.MethodPost, at, "/booking/x", "k0", "a").outcome == "ran"
+	})
+
+	frozen := s.status().Ledgers[0].Primary
+	s.live[frozen].store.signal(syscall.SIGSTOP)
+
+	await(t, "another primary takes over", func() bool {
+		return send(t, http.MethodPost, at, "/booking/x", "k1", "a").outcome == "ran"
+	})
+
+	s.live[frozen].store.signal(syscall.SIGCONT)
+	s.awaitWhole()
+
+	for _, key := range []string{"k0", "k1"} {
+		again := send(t, http.MethodPost, at, "/booking/x", key, "a")
+		assert.Equal(t, again.outcome, "ran")
+		assert.Assert(t, again.replayed)
+		assert.Equal(t, u.count(key), 1)
+	}
+}
+
+// TestPlannedStop expects readiness to fail first, the request in flight to be
+// answered whole, and exit code 0.
+func TestPlannedStop(t *testing.T) {
+	s := newSystem(t, 1, 2, 1)
+	s.boot()
+
+	at := s.vms[1].HTTP
+	u := newUpstream(t)
+	u.keepAnnouncing(t, "booking", at)
+
+	await(t, "a keyed request runs", func() bool {
+		return send(t, http.MethodPost, at, "/booking/x", "k0", "a").outcome == "ran"
+	})
+
+	release := u.hold()
+	got := make(chan answer, 1)
+
+	go func() { got <- send(t, http.MethodPost, at, "/booking/x", "slow", "a") }()
+
+	await(t, "the upstream has it", func() bool { return u.count("slow") == 1 })
+
+	p := s.live[s.vms[1].Name].entry
+	p.signal(syscall.SIGTERM)
+	time.Sleep(300 * time.Millisecond)
+	release()
+
+	reply := <-got
+	assert.Equal(t, reply.outcome, "ran")
+	assert.Equal(t, reply.body, "a 1")
+	assert.NilError(t, <-p.done)
+}
+
+// TestConfigurationNeverReverts has operators race, and a process that restarts
+// far behind.
+func TestConfigurationNeverReverts(t *testing.T) {
+	s := newSystem(t, 3, 2, 1)
+	s.boot()
+
+	change := func(at, id string, base uint64, preset string) entry.ChangeReply {
+		body := `{"id":"` + id + `","base":` + number(base) + `,"who":"op","why":"w","declarations":{"presets":[` +
+			`{"name":"ordinary","router":"leastWait","placer":"pack"},` +
+			`{"name":"peak","router":"leastWait","placer":"spread"}],"preset":"` + preset + `"}}`
+
+		var reply entry.ChangeReply
+
+		_ = json.Unmarshal([]byte(send(t, http.MethodPost, at, "/v1/config", "", body).body), &reply)
+
+		return reply
+	}
+
+	first := change(s.vms[0].HTTP, "first", 0, "ordinary")
+	assert.Assert(t, first.Accepted)
+
+	replies := make(chan entry.ChangeReply, 2)
+
+	for i, preset := range []string{"ordinary", "peak"} {
+		go func() { replies <- change(s.vms[i].HTTP, "race"+preset, 1, preset) }()
+	}
+
+	one, two := <-replies, <-replies
+	assert.Assert(t, one.Accepted != two.Accepted, "%+v %+v", one, two)
+	assert.DeepEqual(t, change(s.vms[2].HTTP, "first", 0, "ordinary"), first)
+
+	last := s.vms[2]
+	s.live[last.Name].store.kill()
+	s.live[last.Name].entry.kill()
+
+	version := uint64(2)
+	for range 20 {
+		reply := change(s.vms[0].HTTP, "change"+number(version), version, "peak")
+		assert.Assert(t, reply.Accepted, "%+v", reply)
+
+		version = reply.Version
+	}
+
+	s.startStore(last.Name)
+	s.startEntry(last.Name)
+
+	await(t, "the restarted process has the newest version", func() bool {
+		var config entry.ConfigReply
+
+		_ = json.Unmarshal([]byte(send(t, http.MethodGet, last.HTTP, "/v1/config", "", "").body), &config)
+
+		return config.Version == version
+	})
+}
+
+func number(value uint64) string {
+	data, _ := json.Marshal(value)
+
+	return string(data)
+}
--- /dev/null
+++ b/test/scene/path_test.go
@@ -0,0 +1,150 @@
+package scene
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+)
+
+// TestRunSurvivesKill drives the one-process system as a newcomer would, kills
+// it, and expects the answer of a keyed request to be there after a restart.
+func TestRunSurvivesKill(t *testing.T) {
+	s := newSystem(t, 1, 1, 1)
+	vm := s.vms[0]
+	p := start(t, s.folder, "run", "--settings", s.settings(vm.Name))
+
+	u := newUpstream(t)
+	u.keepAnnouncing(t, "booking", vm.HTTP)
+
+	await(t, "the service is known", func() bool {
+		return send(t, http.MethodGet, vm.HTTP, "/booking/x", "", "").status == http.StatusCreated
+	})
+
+	var first answer
+
+	await(t, "a keyed request runs", func() bool {
+		first = send(t, http.MethodPost, vm.HTTP, "/booking/contracts?a=%20b", "k1", "excavator")
+
+		return first.outcome == "ran"
+	})
+
+	assert.Equal(t, first.body, "excavator 1")
+	assert.Equal(t, first.header.Get("X-Echo-Path"), "/booking/contracts?a=%20b")
+
+	p.kill()
+	start(t, s.folder, "run", "--settings", s.settings(vm.Name))
+
+	var again answer
+
+	await(t, "the answer is replayed", func() bool {
+		again = send(t, http.MethodPost, vm.HTTP, "/booking/contracts?a=%20b", "k1", "excavator")
+
+		return again.outcome == "ran"
+	})
+
+	assert.Equal(t, again.body, first.body)
+	assert.Assert(t, again.replayed)
+	assert.Equal(t, u.count("k1"), 1)
+}
+
+func TestBadInput(t *testing.T) {
+	s := newSystem(t, 1, 1, 1)
+	vm := s.vms[0]
+	start(t, s.folder, "run", "--settings", s.settings(vm.Name))
+
+	u := newUpstream(t)
+	u.keepAnnouncing(t, "booking", vm.HTTP)
+
+	await(t, "the service is known", func() bool {
+		return send(t, http.MethodGet, vm.HTTP, "/booking/x", "", "").outcome == "ran"
+	})
+
+	unknown := send(t, http.MethodGet, vm.HTTP, "/nowhere/x", "", "")
+	assert.Equal(t, unknown.status, http.StatusNotFound)
+	assert.Equal(t, unknown.outcome, "not-run")
+
+	large := send(t, http.MethodPost, vm.HTTP, "/booking/x", "", strings.Repeat("x", 5<<20))
+	assert.Equal(t, large.status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, large.outcome, "not-run")
+
+	deadline := send(t, http.MethodGet, vm.HTTP, "/booking/x", "", "", "Mill-Deadline", "soon")
+	assert.Equal(t, deadline.status, http.StatusBadRequest)
+	assert.Equal(t, deadline.outcome, "not-run")
+
+	await(t, "a keyed request runs", func() bool {
+		return send(t, http.MethodPost, vm.HTTP, "/booking/x", "k", "one").outcome == "ran"
+	})
+
+	other := send(t, http.MethodPost, vm.HTTP, "/booking/x", "k", "two")
+	assert.Equal(t, other.status, http.StatusUnprocessableEntity)
+	assert.Equal(t, u.count("k"), 1)
+}
+
+func TestBadSettings(t *testing.T) {
+	s := newSystem(t, 1, 1, 1)
+	vm := s.vms[0]
+	good := `"vm":"` + vm.Name + `","cluster":"cluster.json"`
+
+	cases := []struct {
+		name, settings, want string
+	}{
+		{"unknown field", `{` + good + `,"vmm":1}`, `unknown field "vmm"`},
+		{"wrong type", `{` + good + `,"dataFolder":7}`, `field "dataFolder" is a number: want string`},
+		{"out of range", `{` + good + `,"limits":{"workers":0}}`, "limits.workers 0: want 1 to 1048576"},
+		{"unknown VM", `{"vm":"nope","cluster":"cluster.json"}`, `vm "nope": want one of`},
+		{"unwritable folder", `{` + good + `,"dataFolder":"/proc/none"}`, `dataFolder "/proc/none": want a folder`},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			path := filepath.Join(s.folder, "bad.json")
+			assert.NilError(t, os.WriteFile(path, []byte(c.settings), 0o600))
+
+			output, code := once(t, s.folder, "entry", "--settings", path)
+			assert.Equal(t, code, 2, output)
+			assert.Assert(t, cmp.Contains(output, c.want))
+			assert.Equal(t, strings.Count(output, "\n"), 1)
+		})
+	}
+}
+
+func TestAddressInUse(t *testing.T) {
+	s := newSystem(t, 1, 1, 1)
+	vm := s.vms[0]
+	u := newUpstream(t)
+
+	path := filepath.Join(s.folder, "cluster.json")
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+
+	taken := strings.ReplaceAll(string(data), vm.HTTP, u.listener.Addr().String())
+	assert.NilError(t, os.WriteFile(path, []byte(taken), 0o600))
+
+	output, code := once(t, s.folder, "entry", "--settings", s.settings(vm.Name))
+	assert.Equal(t, code, 2)
+	assert.Assert(t, cmp.Contains(output, "vms."+vm.Name+".http"))
+	assert.Assert(t, cmp.Contains(output, "want an address that is free"))
+}
+
+func TestSecondProcessOnOneFolder(t *testing.T) {
+	s := newSystem(t, 1, 1, 1)
+	vm := s.vms[0]
+	p := start(t, s.folder, "run", "--settings", s.settings(vm.Name))
+
+	await(t, "it is ready", func() bool {
+		return send(t, http.MethodGet, vm.HTTP, "/readyz", "", "").status == http.StatusOK
+	})
+
+	output, code := once(t, s.folder, "store", "run", "--settings", s.settings(vm.Name))
+	assert.Equal(t, code, 2)
+	assert.Assert(t, cmp.Contains(output, "data folder is in use"))
+
+	p.signal(syscall.SIGTERM)
+	assert.NilError(t, <-p.done)
+}
--- /dev/null
+++ b/test/scene/scene_test.go
@@ -0,0 +1,399 @@
+package scene
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrymill/cranberrymill/internal/conf"
+	"github.com/cranberrymill/cranberrymill/internal/entry"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// program is the path of the program under test.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "scene")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+
+		return 1
+	}
+
+	defer func() { _ = os.RemoveAll(folder) }()
+
+	program = filepath.Join(folder, "cranberrymill")
+
+	build := exec.Command("go", "build", "-o", program, "../..")
+	build.Stderr = os.Stderr
+
+	if err := build.Run(); err != nil {
+		return 1
+	}
+
+	return m.Run()
+}
+
+// process is one process of the program.
+type process struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	logs *bytes.Buffer
+	done chan error
+}
+
+func start(t *testing.T, folder string, arguments ...string) *process {
+	t.Helper()
+
+	p := &process{t: t, cmd: exec.Command(program, arguments...), logs: &bytes.Buffer{}, done: make(chan error, 1)}
+	p.cmd.Dir = folder
+	p.cmd.Stderr = p.logs
+	p.cmd.Stdout = io.Discard
+
+	assert.NilError(t, p.cmd.Start())
+
+	go func() { p.done <- p.cmd.Wait() }()
+
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+
+		if t.Failed() {
+			t.Logf("log of %v:\n%s", arguments, p.logs.String())
+		}
+	})
+
+	return p
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	p.t.Helper()
+	assert.NilError(p.t, p.cmd.Process.Signal(signal))
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// once runs the program to its end and returns its output and exit code.
+func once(t *testing.T, folder string, arguments ...string) (string, int) {
+	t.Helper()
+
+	cmd := exec.Command(program, arguments...)
+	cmd.Dir = folder
+	output, err := cmd.CombinedOutput()
+
+	if err != nil && cmd.ProcessState == nil {
+		t.Fatal(err)
+	}
+
+	return string(output), cmd.ProcessState.ExitCode()
+}
+
+// vmProcesses are the processes of one VM.
+type vmProcesses struct {
+	store, sched, entry *process
+}
+
+// system is a whole system on loopback.
+type system struct {
+	t      *testing.T
+	folder string
+	vms    []conf.VM
+	live   map[string]*vmProcesses
+}
+
+// newSystem writes the settings of data centres with VMs in each; the first VM
+// of a data centre is durable, and a voter in the first three.
+func newSystem(t *testing.T, dataCentres, vmsEach, durableEach int) *system {
+	t.Helper()
+
+	s := &system{t: t, folder: t.TempDir(), live: make(map[string]*vmProcesses)}
+	cluster := &conf.Cluster{}
+	voters := min(dataCentres*durableEach, 3)
+
+	for d := range dataCentres {
+		dataCentre := conf.DataCentre{Name: fmt.Sprintf("dc%d", d), Region: fmt.Sprintf("region%d", d)}
+
+		for v := range vmsEach {
+			durable := v < durableEach
+			dataCentre.VMs = append(dataCentre.VMs, conf.VM{
+				Name:    fmt.Sprintf("dc%d-%d", d, v),
+				HTTP:    freeAddress(t),
+				Entry:   freeAddress(t),
+				Store:   freeAddress(t),
+				Sched:   freeAddress(t),
+				Durable: durable,
+				Voter:   durable && voters > 0,
+			})
+
+			if durable {
+				voters--
+			}
+		}
+
+		cluster.DataCentres = append(cluster.DataCentres, dataCentre)
+	}
+
+	writeJSON(t, filepath.Join(s.folder, "cluster.json"), cluster)
+	s.vms = cluster.VMs()
+
+	for _, vm := range s.vms {
+		writeJSON(t, s.settings(vm.Name), map[string]any{
+			"vm": vm.Name, "cluster": "cluster.json", "dataFolder": "data/" + vm.Name, "logLevel": "info",
+			"limits": map[string]any{"leaseMilli": 1000, "drainMilli": 5000, "lateAnswerMilli": 3000},
+		})
+	}
+
+	return s
+}
+
+func (s *system) settings(vm string) string {
+	return filepath.Join(s.folder, vm+".json")
+}
+
+// boot begins the control log and starts every process.
+func (s *system) boot() {
+	s.t.Helper()
+
+	output, code := once(s.t, s.folder, "store", "init", "--settings", s.settings(s.vms[0].Name))
+	assert.Equal(s.t, code, 0, output)
+
+	for _, vm := range s.vms {
+		s.live[vm.Name] = &vmProcesses{}
+		s.startStore(vm.Name)
+		s.startSched(vm.Name)
+		s.startEntry(vm.Name)
+	}
+
+	s.awaitWhole()
+}
+
+func (s *system) startStore(vm string) {
+	s.live[vm].store = start(s.t, s.folder, "store", "run", "--settings", s.settings(vm))
+}
+
+func (s *system) startSched(vm string) {
+	s.live[vm].sched = start(s.t, s.folder, "sched", "--settings", s.settings(vm))
+}
+
+func (s *system) startEntry(vm string) {
+	s.live[vm].entry = start(s.t, s.folder, "entry", "--settings", s.settings(vm))
+}
+
+func (s *system) awaitWhole() {
+	s.t.Helper()
+	s.await("the system is whole", func() bool {
+		_, code := once(s.t, s.folder, "status", "--whole", "--entry", s.vms[0].HTTP)
+
+		return code == 0
+	})
+}
+
+// await expects something to come true in a time that only a hang exceeds.
+func (s *system) await(what string, check func() bool) {
+	s.t.Helper()
+	await(s.t, what, check)
+}
+
+func await(t *testing.T, what string, check func() bool) {
+	t.Helper()
+
+	until := time.Now().Add(60 * time.Second)
+
+	for !check() {
+		if time.Now().After(until) {
+			t.Fatalf("never came true: %s", what)
+		}
+
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// upstream is an HTTP server that counts the runs of each key.
+type upstream struct {
+	listener net.Listener
+	mu       sync.Mutex
+	runs     map[string]int
+	delay    time.Duration
+	gate     chan struct{}
+}
+
+func newUpstream(t *testing.T) *upstream {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+
+	u := &upstream{listener: listener, runs: make(map[string]int)}
+	server := &http.Server{Handler: u, ReadHeaderTimeout: time.Minute}
+
+	go func() { _ = server.Serve(listener) }()
+
+	t.Cleanup(func() { _ = server.Close() })
+
+	return u
+}
+
+// ServeHTTP counts the request and answers with its body and the count.
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+
+	u.mu.Lock()
+	u.runs[r.Header.Get(mill.HeaderIdempotencyKey)]++
+	count := u.runs[r.Header.Get(mill.HeaderIdempotencyKey)]
+	gate := u.gate
+	u.mu.Unlock()
+
+	if gate != nil {
+		<-gate
+	}
+
+	w.Header().Set("X-Echo-Path", r.URL.RequestURI())
+	w.WriteHeader(http.StatusCreated)
+	_, _ = fmt.Fprintf(w, "%s %d", body, count)
+}
+
+func (u *upstream) count(key string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	return u.runs[key]
+}
+
+// hold makes the upstream keep its answers back until the function is called.
+func (u *upstream) hold() func() {
+	gate := make(chan struct{})
+
+	u.mu.Lock()
+	u.gate = gate
+	u.mu.Unlock()
+
+	return func() {
+		u.mu.Lock()
+		u.gate = nil
+		u.mu.Unlock()
+
+		close(gate)
+	}
+}
+
+// keepAnnouncing announces the upstream to an entry until the test ends.
+func (u *upstream) keepAnnouncing(t *testing.T, service string, entries ...string) {
+	t.Helper()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+
+	body, err := json.Marshal(mill.Announcement{
+		ID: "u-" + service, Incarnation: 1, Service: service, Rack: "r1",
+		Address: u.listener.Addr().String(), Slots: 8, Connections: 64,
+	})
+	assert.NilError(t, err)
+
+	go func() {
+		for ctx.Err() == nil {
+			for _, entry := range entries {
+				if response, err := http.Post("http://"+entry+"/v1/upstreams", "application/json", bytes.NewReader(body)); err == nil {
+					_ = response.Body.Close()
+				}
+			}
+
+			time.Sleep(500 * time.Millisecond)
+		}
+	}()
+}
+
+// answer is what a caller got.
+type answer struct {
+	status   int
+	outcome  string
+	body     string
+	replayed bool
+	header   http.Header
+}
+
+// send sends one request and returns status 0 when the connection broke.
+func send(t *testing.T, method, entry, path, key, body string, headers ...string) answer {
+	t.Helper()
+
+	request, err := http.NewRequest(method, "http://"+entry+path, strings.NewReader(body))
+	assert.NilError(t, err)
+
+	if key != "" {
+		request.Header.Set(mill.HeaderIdempotencyKey, key)
+	}
+
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 30 * time.Second}
+
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{}
+	}
+
+	defer func() { _ = response.Body.Close() }()
+
+	text, _ := io.ReadAll(response.Body)
+
+	return answer{
+		status:   response.StatusCode,
+		outcome:  response.Header.Get(mill.HeaderOutcome),
+		body:     string(text),
+		replayed: response.Header.Get("Mill-Replayed") == "true",
+		header:   response.Header,
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+
+	defer func() { _ = listener.Close() }()
+
+	return listener.Addr().String()
+}
+
+func writeJSON(t *testing.T, path string, value any) {
+	t.Helper()
+
+	data, err := json.Marshal(value)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(path, data, 0o600))
+}
+
+func (s *system) status() entry.StatusReply {
+	s.t.Helper()
+
+	var status entry.StatusReply
+
+	reply := send(s.t, http.MethodGet, s.vms[0].HTTP, "/v1/status", "", "")
+	_ = json.Unmarshal([]byte(reply.body), &status)
+
+	return status
+}
