Store one frame a sync, so that damage and a torn tail can be told apart

Cause: records of one write stood alone in the file. A crash in the middle of a write of several records can leave a later record whole behind a torn one, which opening took for damage and refused.

Change: what one sync makes durable is one checksummed frame of records. A whole frame behind a broken one proves that the broken one had been synced.

Ruled out: a marker of the synced offset in each record (more bytes, the same knowledge).

--- a/internal/disk/file.go
+++ b/internal/disk/file.go
@@ -19,8 +19,10 @@
 	snapshotFile = "snapshot"
 	recordsFile  = "records"
 	pendingFile  = "pending"
-	folderMode   = 0o750
-	fileMode     = 0o640
+	// snapshotParts is the number of records in a snapshot file: generation and state.
+	snapshotParts = 2
+	folderMode    = 0o750
+	fileMode      = 0o640
 )
 
 // File is a mill.Storage in one folder.
@@ -67,12 +69,7 @@
 
 // Append writes records with one sync; after an error the storage must not be used again.
 func (f *File) Append(records ...[]byte) error {
-	var buf []byte
-	for _, record := range records {
-		buf = appendRecord(buf, record)
-	}
-
-	if _, err := f.records.Write(buf); err != nil {
+	if _, err := f.records.Write(encodeFrame(records...)); err != nil {
 		return merry.Prependf(err, "append to %s", f.records.Name())
 	}
 
@@ -188,12 +185,12 @@
 		return 0, nil, merry.Prependf(err, "read %s", path)
 	}
 
-	payload, size, ok := readRecord(data)
-	if !ok || size != len(data) || len(payload) < generationSize {
+	parts, size, ok := decodeFrame(data)
+	if !ok || size != len(data) || len(parts) != snapshotParts || len(parts[0]) != generationSize {
 		return 0, nil, merry.Prependf(mill.ErrCorrupt, "%s at offset 0", path)
 	}
 
-	return decodeGeneration(payload), payload[generationSize:], nil
+	return decodeGeneration(parts[0]), parts[1], nil
 }
 
 // removeOthers removes the records files that a crash during Compact left.
@@ -251,21 +248,22 @@
 	return f.syncFolder()
 }
 
-// scan collects the whole records of data and returns the offset behind the last.
+// scan collects the records of the whole frames of data and returns the offset
+// behind the last.
 func (f *File) scan(path string, data []byte) (int, error) {
 	offset := 0
 
 	for offset < len(data) {
-		payload, size, ok := readRecord(data[offset:])
+		records, size, ok := decodeFrame(data[offset:])
 		if !ok {
 			break
 		}
 
-		f.loaded = append(f.loaded, payload)
+		f.loaded = append(f.loaded, records...)
 		offset += size
 	}
 
-	if wholeRecordBehind(data[offset:]) {
+	if wholeFrameBehind(data[offset:]) {
 		return 0, merry.Prependf(mill.ErrCorrupt, "%s at offset %d", path, offset)
 	}
 
@@ -280,12 +278,11 @@
 		return nil, merry.Prependf(err, "create %s", path)
 	}
 
-	var buf []byte
-	for _, record := range records {
-		buf = appendRecord(buf, record)
+	if len(records) > 0 {
+		_, err = file.Write(encodeFrame(records...))
 	}
 
-	if _, err := file.Write(buf); err != nil {
+	if err != nil {
 		return nil, errors.Join(merry.Prependf(err, "write %s", path), file.Close())
 	}
 
@@ -297,9 +294,7 @@
 }
 
 func (f *File) replaceSnapshot(generation uint64, snapshot []byte) error {
-	payload := append(encodeGeneration(generation), snapshot...)
-
-	return f.writeWhole(snapshotFile, appendRecord(nil, payload))
+	return f.writeWhole(snapshotFile, encodeFrame(encodeGeneration(generation), snapshot))
 }
 
 // writeWhole replaces a file so that a crash leaves either the old content or the new.
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -41,7 +41,7 @@
 // comes with the request's own whole answer.
 func TestFuzzRequests(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		upstreamScript := rapid.SliceOfN(rapid.Custom(drawBehaviour), 0, 16).Draw(t, "upstream")
+		upstreamScript := rapid.SliceOfN(rapid.Custom(drawBehavior), 0, 16).Draw(t, "upstream")
 		ledgerScript := rapid.SliceOfN(rapid.Custom(drawFault), 0, 16).Draw(t, "ledger")
 		plan := rapid.SliceOfN(rapid.Custom(drawPlanned), 1, 16).Draw(t, "requests")
 
@@ -65,8 +65,8 @@
 	})
 }
 
-func drawBehaviour(t *rapid.T) behaviour {
-	return behaviour(rapid.IntRange(0, int(behaviours)-1).Draw(t, "behaviour"))
+func drawBehavior(t *rapid.T) behavior {
+	return behavior(rapid.IntRange(0, int(behaviors)-1).Draw(t, "behavior"))
 }
 
 func drawFault(t *rapid.T) fault {
@@ -156,6 +156,7 @@
 		if post && r.planned.key != "" && r.keyRuns > 0 {
 			t.Fatalf("key %s was told \"not run\" when it had run", r.planned.key)
 		}
+	default:
 	}
 }
 
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -29,32 +29,32 @@
 	testSlots = 3
 )
 
-// behaviour says what the fake upstream does with one request.
-type behaviour int
+// behavior says what the fake upstream does with one request.
+type behavior int
 
 const (
-	answers behaviour = iota
+	answers behavior = iota
 	answersLate
 	diesUnread
 	diesAfterRun
 	diesInBody
 	answersAnother
 	refuses
-	behaviours
+	behaviors
 )
 
 // fakeUpstream runs requests as it is told, and counts them.
 type fakeUpstream struct {
 	listener net.Listener
 	mu       sync.Mutex
-	script   []behaviour
+	script   []behavior
 	byID     map[string]int
 	byKey    map[string]int
 	busy     int
 	peak     int
 }
 
-func newFakeUpstream(script []behaviour) (*fakeUpstream, error) {
+func newFakeUpstream(script []behavior) (*fakeUpstream, error) {
 	var config net.ListenConfig
 
 	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -102,7 +102,7 @@
 	}
 }
 
-// handle plays the next behaviour and reports whether the connection goes on.
+// handle plays the next behavior and reports whether the connection goes on.
 func (u *fakeUpstream) handle(c net.Conn, request *fasthttp.Request) bool {
 	id := string(request.Header.Peek(mill.HeaderRequestID))
 	next := u.next()
@@ -118,6 +118,7 @@
 		return false
 	case refuses:
 		return u.write(c, id, "not started", mill.HeaderOutcome+": "+string(mill.OutcomeNotRun)+"\r\n")
+	default:
 	}
 
 	u.begin(id, key)
@@ -150,7 +151,7 @@
 	return err == nil
 }
 
-func (u *fakeUpstream) next() behaviour {
+func (u *fakeUpstream) next() behavior {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 
@@ -231,6 +232,7 @@
 		}()
 
 		return ledger.Result{}, errLost
+	default:
 	}
 
 	if ctx.Err() != nil {
@@ -272,7 +274,7 @@
 	close    func()
 }
 
-func newWorld(upstreamScript []behaviour, ledgerScript []fault) (*world, error) {
+func newWorld(upstreamScript []behavior, ledgerScript []fault) (*world, error) {
 	upstream, err := newFakeUpstream(upstreamScript)
 	if err != nil {
 		return nil, err
