--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -43,7 +43,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		upstreamScript := rapid.SliceOfN(rapid.Custom(drawBehavior), 0, 16).Draw(t, "upstream")
 		ledgerScript := rapid.SliceOfN(rapid.Custom(drawFault), 0, 16).Draw(t, "ledger")
-		plan := rapid.SliceOfN(rapid.Custom(drawPlanned), 1, 16).Draw(t, "requests")
+		plan := rapid.SliceOfN(rapid.Custom(drawPlanned), 4, 24).Draw(t, "requests")
 
 		w, err := newWorld(upstreamScript, ledgerScript)
 		if err != nil {
@@ -78,8 +78,8 @@
 		method: rapid.SampledFrom([]string{fasthttp.MethodPost, fasthttp.MethodPost, fasthttp.MethodGet}).Draw(t, "method"),
 		key:    rapid.SampledFrom([]string{"", "k1", "k2", "k3"}).Draw(t, "key"),
 		entry:  rapid.IntRange(0, 1).Draw(t, "entry"),
-		wait:   time.Duration(rapid.SampledFrom([]int{0, 0, 5, 30}).Draw(t, "wait")) * time.Millisecond,
-		kill:   rapid.IntRange(0, 19).Draw(t, "kill") == 19,
+		wait:   time.Duration(rapid.SampledFrom([]int{0, 0, 0, 5, 20}).Draw(t, "wait")) * time.Millisecond,
+		kill:   rapid.IntRange(0, 7).Draw(t, "kill") == 7,
 	}
 }
 
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -26,7 +26,8 @@
 const (
 	deadline  = 60 * time.Millisecond
 	slow      = 100 * time.Millisecond
-	testSlots = 3
+	quick     = 8 * time.Millisecond
+	testSlots = 2
 )
 
 // behavior says what the fake upstream does with one request.
@@ -126,6 +127,8 @@
 
 	if next == answersLate {
 		time.Sleep(slow)
+	} else {
+		time.Sleep(quick)
 	}
 
 	body := "answer to " + string(request.Body())
--- a/internal/ledger/calls.go
+++ b/internal/ledger/calls.go
@@ -36,7 +36,8 @@
 	Index uint64
 }
 
-// ChangesReply holds changed jobs and the index to ask from next.
+// ChangesReply holds changed jobs and the index to ask from next: nothing that
+// changed up to it is missing.
 type ChangesReply struct {
 	Jobs   []ChangedJob
 	Index  uint64
--- a/internal/ledger/jobs.go
+++ b/internal/ledger/jobs.go
@@ -231,9 +231,9 @@
 	delete(t.byID, id)
 }
 
-// since returns up to limit jobs changed after index, the oldest change first,
-// and the index of the last one returned.
-func (t *jobs) since(index uint64, limit int) ([]ChangedJob, uint64) {
+// since returns about limit jobs changed after index, the oldest change first,
+// and the index up to which nothing is missing: all, when none was left out.
+func (t *jobs) since(index uint64, limit int, all uint64) ([]ChangedJob, uint64) {
 	first := t.changed.Back()
 	for first != nil && first.Value.(*jobRecord).Index > index {
 		first = first.Prev()
@@ -252,14 +252,14 @@
 	for ; first != nil; first = first.Next() {
 		record := first.Value.(*jobRecord)
 		if len(found) >= limit && record.Index != last {
-			break
+			return found, last
 		}
 
 		found = append(found, ChangedJob{Job: cloneJob(&record.Job), Index: record.Index})
 		last = record.Index
 	}
 
-	return found, last
+	return found, all
 }
 
 func cloneJob(job *mill.Job) mill.Job {
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -86,6 +86,17 @@
 	return cloneJob(&record.Job), true
 }
 
+// Changes returns about limit jobs changed after an index, and the index up to
+// which nothing is missing; commit is that of the state.
+func (s *State) Changes(since uint64, limit int, commit uint64) ([]ChangedJob, uint64) {
+	return s.jobs.since(since, limit, commit)
+}
+
+// Leader returns the active scheduler with its term and the count of its renewals.
+func (s *State) Leader() (holder string, term, renewals uint64) {
+	return s.leader, s.term, s.renewals
+}
+
 // Intent returns the intent of that key.
 func (s *State) Intent(key string) (Intent, bool) {
 	intent, ok := s.intents.byKey[key]
--- a/internal/sched/heartbeat.go
+++ b/internal/sched/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cranberrymill/cranberrymill/internal/ledger"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
@@ -14,7 +13,7 @@
 
 	err := s.do(ctx, func() error {
 		// Past its authority a scheduler may have been deposed without knowing.
-		if time.Now().After(s.authority) {
+		if s.now().After(s.authority) {
 			return mill.ErrNotPrimary
 		}
 
@@ -24,7 +23,13 @@
 	return orders, err
 }
 
+// heartbeat fills the orders. Past its authority a scheduler may have been
+// deposed without knowing, so it must not extend a lease.
 func (s *Scheduler) heartbeat(ctx context.Context, heartbeat *mill.Heartbeat, orders *mill.Orders) error {
+	if s.now().After(s.authority) || !s.loaded() {
+		return mill.ErrNotPrimary
+	}
+
 	w := s.mirror.worker(heartbeat.ID)
 
 	if !s.admit(w, heartbeat) {
@@ -68,7 +73,7 @@
 
 	w.incarnation = heartbeat.Incarnation
 	w.live = true
-	w.heard = time.Now()
+	w.heard = s.now()
 	w.view.Rack = heartbeat.Rack
 
 	return true
@@ -78,7 +83,7 @@
 func (s *Scheduler) settled() bool {
 	lease := s.settings.Limits.Lease()
 
-	return time.Since(s.activeSince) > authorityTime+lease+lease/driftPart
+	return s.now().Sub(s.activeSince) > authorityTime+lease+lease/driftPart
 }
 
 // reports reports whether a heartbeat names any task that the worker holds.
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -39,6 +39,12 @@
 // errLost means that another scheduler has become the active one.
 var errLost = merry.Sentinel("another scheduler is active")
 
+// ledgerLog is the ledger of the scheduler's data centre.
+type ledgerLog interface {
+	Propose(ctx context.Context, ledger string, command ledger.Command) (ledger.Result, error)
+	Changes(ctx context.Context, request *ledger.ChangesRequest) (*ledger.ChangesReply, error)
+}
+
 // Scheduler is one process of the role.
 type Scheduler struct {
 	settings *conf.Settings
@@ -46,8 +52,9 @@
 	holder   string
 	client   *wire.Client
 	control  *ctrl.Watcher
-	ledgers  *ledger.Client
+	ledgers  ledgerLog
 	events   *ring.Ring[func()]
+	now      func() time.Time
 
 	active      bool
 	term        uint64
@@ -57,6 +64,7 @@
 	activeSince time.Time
 	authority   time.Time
 	index       uint64
+	loadedFrom  uint64
 	mirror      *mirror
 	dirty       bool
 }
@@ -77,6 +85,7 @@
 		client:    client,
 		control:   ctrl.NewWatcher(client, settings.Map().Voters(vm)),
 		events:    ring.New[func()](eventRing),
+		now:       time.Now,
 		changedAt: time.Now(),
 		mirror:    newMirror(),
 	}, nil
@@ -158,7 +167,7 @@
 		return
 	}
 
-	sent := time.Now()
+	sent := s.now()
 
 	ctx, cancel := context.WithTimeout(ctx, proposeTime)
 	defer cancel()
@@ -177,17 +186,7 @@
 func (s *Scheduler) wantedTerm(ctx context.Context) (uint64, bool) {
 	reply := make(chan uint64, 1)
 
-	err := s.events.Put(ctx, func() {
-		switch {
-		case s.active:
-			reply <- s.term
-		case time.Since(s.changedAt) > takeoverTime:
-			reply <- s.seenTerm + 1
-		default:
-			reply <- 0
-		}
-	})
-	if err != nil {
+	if err := s.events.Put(ctx, func() { reply <- s.nextTerm() }); err != nil {
 		return 0, false
 	}
 
@@ -199,6 +198,19 @@
 	}
 }
 
+// nextTerm returns the term to renew, the one to take from a scheduler that has
+// not renewed its own for takeoverTime, or 0.
+func (s *Scheduler) nextTerm() uint64 {
+	switch {
+	case s.active:
+		return s.term
+	case s.now().Sub(s.changedAt) > takeoverTime:
+		return s.seenTerm + 1
+	default:
+		return 0
+	}
+}
+
 func (s *Scheduler) renewed(term uint64, sent time.Time, result *ledger.Result) {
 	if result.Status != ledger.StatusOK {
 		s.depose(result.Term)
@@ -216,9 +228,16 @@
 
 	s.active = true
 	s.term = term
-	s.activeSince = time.Now()
+	s.activeSince = s.now()
 	s.mirror = newMirror()
 	s.index = 0
+	s.loadedFrom = result.Index
+}
+
+// loaded reports whether the mirror has every job as of the term's beginning.
+// Before that the scheduler knows too little to tell a worker anything.
+func (s *Scheduler) loaded() bool {
+	return s.index >= s.loadedFrom
 }
 
 func (s *Scheduler) depose(term uint64) {
@@ -228,7 +247,7 @@
 
 	s.active = false
 	s.seenTerm = max(s.seenTerm, term)
-	s.changedAt = time.Now()
+	s.changedAt = s.now()
 }
 
 // runFollow brings the mirror up to date with the ledger.
@@ -275,7 +294,7 @@
 	if reply.Term != s.seenTerm || reply.Renewals != s.renewals {
 		s.seenTerm = reply.Term
 		s.renewals = reply.Renewals
-		s.changedAt = time.Now()
+		s.changedAt = s.now()
 	}
 
 	if s.active && reply.Term > s.term {
@@ -296,7 +315,7 @@
 
 // tick ends what silent workers held and places what is pending.
 func (s *Scheduler) tick(ctx context.Context) {
-	if !s.active {
+	if !s.active || !s.loaded() {
 		return
 	}
 
@@ -379,9 +398,9 @@
 // out that the one before may have given.
 func (s *Scheduler) expire(ctx context.Context) {
 	grace := s.settings.Limits.Lease() + s.settings.Limits.Lease()/driftPart
-	now := time.Now()
+	now := s.now()
 
-	if now.Sub(s.activeSince) < authorityTime+grace {
+	if !s.settled() {
 		return
 	}
 
