--- a/internal/ctrl/watcher.go
+++ b/internal/ctrl/watcher.go
@@ -141,19 +141,22 @@
 
 	w.heard.Store(time.Now().UnixMilli())
 
-	if reply.View != nil && reply.View.Revision > request.Revision {
-		w.publish(reply.View)
-	}
+	w.take(reply.View)
 
 	return !reply.Leaderless
 }
 
-func (w *Watcher) publish(view *View) {
-	w.view.Store(view)
-
+// take publishes a view unless it is older than the one known: a server that
+// is behind must not bring back what was replaced.
+func (w *Watcher) take(view *View) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	if view == nil || view.Revision <= w.view.Load().Revision {
+		return
+	}
+
+	w.view.Store(view)
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -54,16 +54,17 @@
 				log.Warn().Str("upstream", id).Msg("upstream forgotten: no announcement")
 			}
 		case <-beats.C:
-			e.push(e.beats())
+			e.push(e.table.beats(time.Now()))
 			e.pushSummary()
 		}
 	}
 }
 
-func (e *Entry) beats() *Gossip {
+// beats returns a beat for each upstream.
+func (t *table) beats(now time.Time) *Gossip {
 	gossip := &Gossip{}
 
-	for _, b := range e.table.list(time.Now()) {
+	for _, b := range t.list(now) {
 		gossip.Beats = append(gossip.Beats, Beat{
 			ID: b.told.ID, Incarnation: b.told.Incarnation, AgeMilli: b.age.Milliseconds(),
 		})
@@ -90,10 +91,11 @@
 		return
 	}
 
-	_, _ = wire.Call[Gossip, GossipReply](ctx, e.client, address, MethodGossip, e.whole(reply.Missing))
+	_, _ = wire.Call[Gossip, GossipReply](ctx, e.client, address, MethodGossip, e.table.whole(reply.Missing, time.Now()))
 }
 
-func (e *Entry) whole(ids []string) *Gossip {
+// whole returns the announcements of the upstreams of those ids.
+func (t *table) whole(ids []string, now time.Time) *Gossip {
 	wanted := make(map[string]bool, len(ids))
 	for _, id := range ids {
 		wanted[id] = true
@@ -101,7 +103,7 @@
 
 	gossip := &Gossip{}
 
-	for _, b := range e.table.list(time.Now()) {
+	for _, b := range t.list(now) {
 		if wanted[b.told.ID] {
 			gossip.Changes = append(gossip.Changes, Heard{Told: b.told, AgeMilli: b.age.Milliseconds()})
 		}
--- a/internal/ledger/intents.go
+++ b/internal/ledger/intents.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"container/list"
+	"slices"
 )
 
 // The bounds of what is kept for resends of requests that have ended.
@@ -95,17 +96,17 @@
 // remember notes that an attempt was voided; one for each owner is enough,
 // since the attempts of an owner are numbered.
 func (i *Intent) remember(attempt Attempt) {
-	voided := make([]Attempt, 0, len(i.Voided)+1)
-
-	for _, old := range i.Voided {
+	for at, old := range i.Voided {
 		if old.sameOwner(attempt) {
-			attempt.Sequence = max(attempt.Sequence, old.Sequence)
-		} else {
-			voided = append(voided, old)
+			// Saved copies share the old slice, so that one stays as it is.
+			i.Voided = slices.Clone(i.Voided)
+			i.Voided[at].Sequence = max(attempt.Sequence, old.Sequence)
+
+			return
 		}
 	}
 
-	i.Voided = append(voided, attempt)
+	i.Voided = append(slices.Clone(i.Voided), attempt)
 }
 
 func (t *intents) finish(command *Finish) Result {
