Never order an attempt to run once its ending may be committed, and hand over at a planned stop

Cause: TestFuzzOnePlace (676 checks) had a task run on two workers. The active scheduler ended a lost worker's tasks, the answer was lost, and its link to the ledger with it; the worker came back without tasks, the scheduler still took the attempt for assigned and ordered it again, while the scheduler that took over had given the task to another worker.

Change: endings are noted before they are committed, an attempt among them is never ordered and is stopped where it runs, and they are tried again until answered. A scheduler that has not read the ledger lately does not take over.

Also: stores pass on primacy and lead, and schedulers give up their lease, when they are stopped as planned; the fuzzers draw these too.

Ruled out: the takeover itself (the new one did wait for every lease).

--- a/internal/ctrl/server.go
+++ b/internal/ctrl/server.go
@@ -87,6 +87,18 @@
 	return s.driver.Run(ctx)
 }
 
+// HandOver passes the lead on before a planned stop, and waits until another
+// server has it or the context ends.
+func (s *Server) HandOver(ctx context.Context) {
+	if err := s.driver.Do(func() { s.node.HandOver() }); err != nil {
+		return
+	}
+
+	for s.leader.Load().Identity == s.self.Identity && ctx.Err() == nil {
+		pause(ctx, TickTime)
+	}
+}
+
 // Register adds the calls of the control log to a server.
 func (s *Server) Register(server *wire.Server) {
 	wire.Handle(server, MethodDeliver, s.deliver)
--- a/internal/ledger/fuzz_test.go
+++ b/internal/ledger/fuzz_test.go
@@ -35,6 +35,7 @@
 			"wait":         draw.wait,
 			"ask":          draw.ask,
 			"learnLate":    draw.learnLate,
+			"handOver":     draw.handOver,
 			"kill":         draw.kill,
 			"restart":      draw.restart,
 			"crashSoon":    draw.crashSoon,
@@ -191,6 +192,14 @@
 	d.w.learn(d.name.Draw(t, "name"), rapid.IntRange(0, 3).Draw(t, "back"))
 }
 
+func (d *drawer) handOver(*rapid.T) {
+	for _, name := range d.w.leaders() {
+		c := d.w.copies[name]
+		c.replica.HandOver()
+		d.w.settle(c)
+	}
+}
+
 func (d *drawer) kill(t *rapid.T) { d.w.stop(d.name.Draw(t, "name")) }
 
 // restart opens a copy that is down, and often tells it at once of an epoch
--- a/internal/ledger/node.go
+++ b/internal/ledger/node.go
@@ -87,6 +87,23 @@
 	return n.driver.Run(ctx)
 }
 
+// HandOver passes the primacy on before a planned stop, and waits until that is
+// in force or the context ends.
+func (n *Node) HandOver(ctx context.Context) {
+	for n.leadsOthers() && ctx.Err() == nil {
+		_ = n.driver.Do(n.replica.HandOver)
+
+		time.Sleep(TickTime)
+	}
+}
+
+func (n *Node) leadsOthers() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.status.Leading && len(n.status.Epoch.Replicas) > 1
+}
+
 // Register adds the calls of the ledger to a server.
 func (n *Node) Register(server *wire.Server) {
 	wire.Handle(server, MethodDeliver, n.deliver)
--- a/internal/ledger/primary.go
+++ b/internal/ledger/primary.go
@@ -132,6 +132,33 @@
 	r.writeVow()
 }
 
+// HandOver asks for an epoch led by another replica that has the whole log,
+// before this copy stops as planned; one with a disk is preferred.
+func (r *Replica) HandOver() {
+	if !r.leading || r.wish != nil {
+		return
+	}
+
+	var next *peer
+
+	for _, p := range r.peers.list {
+		if p.learner || p.acked < r.log.last() {
+			continue
+		}
+
+		if next == nil || p.member.Durable {
+			next = p
+		}
+	}
+
+	if next == nil {
+		return
+	}
+
+	epoch := r.epoch.LedBy(next.member)
+	r.wish = &epoch
+}
+
 func (r *Replica) stepRefuse(message *Message) {
 	if r.ballot.Less(message.Ballot) {
 		r.leading = false
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -1,5 +1,20 @@
 package raft
 
+func (n *Node) stepElection(message *Message) {
+	switch message.Kind {
+	case KindPreVote:
+		n.stepPreVote(message)
+	case KindPreVoteReply:
+		n.stepPreVoteReply(message)
+	case KindVote:
+		n.stepVote(message)
+	case KindVoteReply:
+		n.stepVoteReply(message)
+	default:
+		n.stepTimeoutNow(message)
+	}
+}
+
 // campaign asks whether an election could be won before it disturbs the term.
 // The membership that makes this server a voter may have been replaced, so it
 // also asks for admission: a leader that knows it takes no notice of that.
@@ -123,3 +138,34 @@
 
 	return message.Index >= n.log.last()
 }
+
+// HandOver tells the voter with the longest log to take the lead, before this
+// server stops as planned, and reports whether there was one.
+func (n *Node) HandOver() bool {
+	if n.role != leader {
+		return false
+	}
+
+	var next *progress
+
+	for _, p := range n.progress.list {
+		if n.log.membership.Has(p.server.Identity) && (next == nil || p.match > next.match) {
+			next = p
+		}
+	}
+
+	if next == nil {
+		return false
+	}
+
+	n.sendEarly(next.server, Message{Kind: KindTimeoutNow})
+
+	return true
+}
+
+// stepTimeoutNow stands for election without asking first: the leader wants it.
+func (n *Node) stepTimeoutNow(message *Message) {
+	if message.Term == n.term && n.role == follower && n.log.membership.Has(n.self.Identity) {
+		n.stand()
+	}
+}
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -1,5 +1,16 @@
 package raft
 
+func (n *Node) stepLog(message *Message) {
+	switch message.Kind {
+	case KindAppend, KindInstall:
+		n.stepFromLeader(message)
+	case KindAppendReply:
+		n.stepAppendReply(message)
+	default:
+		n.stepLearn(message)
+	}
+}
+
 // tickLearner asks every known server for admission until the log says that
 // this one is a voter.
 func (n *Node) tickLearner() {
--- a/internal/raft/fuzz_test.go
+++ b/internal/raft/fuzz_test.go
@@ -44,6 +44,7 @@
 			"killLeader":   draw.killLeader,
 			"isolateLead":  draw.isolateLeader,
 			"proposeAlone": draw.proposeAlone,
+			"handOver":     draw.handOver,
 			"contest":      draw.contest,
 			"contestMore":  draw.contest,
 			"lag":          draw.lag,
@@ -264,6 +265,13 @@
 	}
 }
 
+func (d *drawer) handOver(*rapid.T) {
+	for _, name := range d.w.leading() {
+		d.w.servers[name].node.HandOver()
+		d.w.settle(d.w.servers[name])
+	}
+}
+
 // contest has several servers stand for election at once, their messages
 // arrive in any order, and a server restarts on the way.
 func (d *drawer) contest(t *rapid.T) {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -115,21 +115,10 @@
 		n.follow(message.Term)
 	}
 
-	switch message.Kind {
-	case KindPreVote:
-		n.stepPreVote(&message)
-	case KindPreVoteReply:
-		n.stepPreVoteReply(&message)
-	case KindVote:
-		n.stepVote(&message)
-	case KindVoteReply:
-		n.stepVoteReply(&message)
-	case KindAppend, KindInstall:
-		n.stepFromLeader(&message)
-	case KindAppendReply:
-		n.stepAppendReply(&message)
-	case KindLearn:
-		n.stepLearn(&message)
+	if message.Kind.aboutElection() {
+		n.stepElection(&message)
+	} else {
+		n.stepLog(&message)
 	}
 }
 
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -77,8 +77,20 @@
 	KindInstall
 	// KindLearn asks the leader to replicate to a server that is not a voter yet.
 	KindLearn
+	// KindTimeoutNow tells a voter to stand for election at once, since the leader stops.
+	KindTimeoutNow
 )
 
+// aboutElection reports whether messages of the kind concern who leads.
+func (k MessageKind) aboutElection() bool {
+	switch k {
+	case KindPreVote, KindPreVoteReply, KindVote, KindVoteReply, KindTimeoutNow:
+		return true
+	default:
+		return false
+	}
+}
+
 // Message is what servers send each other.
 type Message struct {
 	Kind     MessageKind
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -38,6 +38,7 @@
 			"freeze":      draw.freeze,
 			"thaw":        draw.thaw,
 			"restart":     draw.restart,
+			"resign":      func(t *rapid.T) { w.resign(draw.scheduler(t)) },
 			"cut":         draw.cut,
 			"mend":        draw.mend,
 			"loseAnswer":  draw.loseAnswer,
--- a/internal/sched/heartbeat.go
+++ b/internal/sched/heartbeat.go
@@ -140,13 +140,23 @@
 		return nil
 	}
 
+	return s.commitEndings(ctx, endings)
+}
+
+// commitEndings notes endings before it commits them: with the answer lost
+// nobody can tell whether they are committed.
+func (s *Scheduler) commitEndings(ctx context.Context, endings []ledger.Ending) error {
+	for i := range endings {
+		s.mirror.ending[endings[i].TaskRef] = endings[i]
+	}
+
 	result, err := s.propose(ctx, ledger.Command{End: &ledger.End{Term: s.term, Endings: endings}})
 	if err != nil {
 		return err
 	}
 
 	for i := range endings {
-		s.mirror.end(&endings[i], heartbeat.ID, result.Index)
+		s.mirror.end(&endings[i], result.Index)
 	}
 
 	s.dirty = true
@@ -154,15 +164,31 @@
 	return nil
 }
 
+// retryEndings commits again what may not have been committed.
+func (s *Scheduler) retryEndings(ctx context.Context) {
+	if len(s.mirror.ending) == 0 {
+		return
+	}
+
+	endings := make([]ledger.Ending, 0, len(s.mirror.ending))
+	for _, ending := range s.mirror.ending {
+		endings = append(endings, ending)
+	}
+
+	_ = s.commitEndings(ctx, endings)
+}
+
 // end notes an ending until the ledger's form of the job arrives.
-func (m *mirror) end(ending *ledger.Ending, worker string, index uint64) {
-	m.worker(worker).release(ending.TaskRef)
+func (m *mirror) end(ending *ledger.Ending, index uint64) {
+	delete(m.ending, ending.TaskRef)
 
 	job, ok := m.jobs[ending.Job]
-	if !ok {
+	if !ok || job.Tasks[ending.Index].Attempt != ending.Attempt {
 		return
 	}
 
+	m.worker(job.Tasks[ending.Index].Worker).release(ending.TaskRef)
+
 	m.written[ending.Job] = index
 
 	task := &job.Tasks[ending.Index]
@@ -180,14 +206,18 @@
 		held[report.TaskRef] = true
 
 		job, ok := s.mirror.assigned(report.TaskRef, heartbeat.ID)
-		if !report.State.Final() && (!ok || job.Canceled) {
+		_, ending := s.mirror.ending[report.TaskRef]
+
+		if !report.State.Final() && (!ok || ending || job.Canceled) {
 			orders.Stop = append(orders.Stop, report.TaskRef)
 		}
 	}
 
 	for ref := range w.tasks {
 		job, ok := s.mirror.assigned(ref, heartbeat.ID)
-		if held[ref] || !ok {
+		_, ending := s.mirror.ending[ref]
+
+		if held[ref] || !ok || ending {
 			continue
 		}
 
--- a/internal/sched/mirror.go
+++ b/internal/sched/mirror.go
@@ -14,6 +14,9 @@
 	workers map[string]*worker
 	// written holds, for each job, the index of this scheduler's last write to it.
 	written map[string]uint64
+	// ending holds the endings that may be committed or not. An attempt among
+	// them must never be ordered to run again.
+	ending map[mill.TaskRef]ledger.Ending
 }
 
 func newMirror() *mirror {
@@ -21,6 +24,7 @@
 		jobs:    make(map[string]*mill.Job),
 		workers: make(map[string]*worker),
 		written: make(map[string]uint64),
+		ending:  make(map[mill.TaskRef]ledger.Ending),
 	}
 }
 
@@ -37,6 +41,8 @@
 		m.order = append(m.order, job.ID)
 	}
 
+	m.forgetEndings(&job)
+
 	if job.Final() {
 		delete(m.jobs, job.ID)
 		delete(m.written, job.ID)
@@ -49,6 +55,20 @@
 	m.takeAll(&job)
 }
 
+// forgetEndings drops the endings of attempts that the ledger shows as ended.
+func (m *mirror) forgetEndings(job *mill.Job) {
+	for ref := range m.ending {
+		if ref.Job != job.ID {
+			continue
+		}
+
+		task := &job.Tasks[ref.Index]
+		if task.State != mill.TaskAssigned || task.Attempt != ref.Attempt {
+			delete(m.ending, ref)
+		}
+	}
+}
+
 func (m *mirror) takeAll(job *mill.Job) {
 	for i := range job.Tasks {
 		task := &job.Tasks[i]
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -55,12 +55,15 @@
 	ledgers  ledgerLog
 	events   *ring.Ring[func()]
 	now      func() time.Time
+	stop     context.CancelFunc
 
 	active      bool
 	term        uint64
 	renewals    uint64
 	seenTerm    uint64
+	resigned    bool
 	changedAt   time.Time
+	readAt      time.Time
 	activeSince time.Time
 	authority   time.Time
 	index       uint64
@@ -98,7 +101,10 @@
 		return err
 	}
 
-	s.ledgers = ledger.NewClient(ctx, s.client, s.control, s.settings.Map().Stores())
+	// The duties go on until the lease has been given up.
+	behind, stop := context.WithCancel(context.WithoutCancel(ctx))
+	s.stop = stop
+	s.ledgers = ledger.NewClient(behind, s.client, s.control, s.settings.Map().Stores())
 
 	server := &wire.Server{}
 	wire.Handle(server, MethodHeartbeat, s.takeHeartbeat)
@@ -107,11 +113,11 @@
 
 	var duties errgroup.Group
 
-	duties.Go(func() error { return s.control.Run(ctx) })
-	duties.Go(func() error { return server.Serve(ctx, listener) })
-	duties.Go(func() error { return s.runFollow(ctx) })
-	duties.Go(func() error { return s.runEvents(ctx) })
-	duties.Go(func() error { return s.runClock(ctx, planTime, s.tick) })
+	duties.Go(func() error { return s.control.Run(behind) })
+	duties.Go(func() error { return server.Serve(behind, listener) })
+	duties.Go(func() error { return s.runFollow(behind) })
+	duties.Go(func() error { return s.runEvents(behind) })
+	duties.Go(func() error { return s.runClock(behind, planTime, s.tick) })
 	duties.Go(func() error { return s.runRenew(ctx) })
 
 	return duties.Wait()
@@ -152,6 +158,8 @@
 	for {
 		select {
 		case <-ctx.Done():
+			s.resign(context.WithoutCancel(ctx))
+
 			return nil
 		case <-clock.C:
 			s.renew(ctx)
@@ -159,6 +167,39 @@
 	}
 }
 
+// resign gives the lease up before a planned stop, so that the next scheduler
+// need not wait for it to lapse.
+func (s *Scheduler) resign(ctx context.Context) {
+	defer s.stop()
+
+	reply := make(chan uint64, 1)
+
+	if !s.events.Offer(func() { reply <- s.resignTerm() }) {
+		return
+	}
+
+	term := <-reply
+	if term == 0 {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, proposeTime)
+	defer cancel()
+
+	_, _ = s.ledgers.Propose(ctx, s.vm.DataCentre(), ledger.Command{Lead: &ledger.Lead{Term: term}})
+}
+
+// resignTerm ends the scheduler's activity and returns the term to give up.
+func (s *Scheduler) resignTerm() uint64 {
+	if !s.active {
+		return 0
+	}
+
+	s.active = false
+
+	return s.term + 1
+}
+
 // renew commits that this scheduler is alive, or that it takes over from one
 // that has not been for takeoverTime.
 func (s *Scheduler) renew(ctx context.Context) {
@@ -204,7 +245,9 @@
 	switch {
 	case s.active:
 		return s.term
-	case s.now().Sub(s.changedAt) > takeoverTime:
+	case s.now().Sub(s.readAt) > followTime:
+		return 0 // Renewals may have been committed that were not read.
+	case s.resigned || s.now().Sub(s.changedAt) > takeoverTime:
 		return s.seenTerm + 1
 	default:
 		return 0
@@ -227,6 +270,7 @@
 	log.Info().Str("dataCentre", s.vm.DataCentre()).Uint64("term", term).Msg("scheduler is active")
 
 	s.active = true
+	s.resigned = false
 	s.term = term
 	s.activeSince = s.now()
 	s.mirror = newMirror()
@@ -246,6 +290,7 @@
 	}
 
 	s.active = false
+	s.resigned = false
 	s.seenTerm = max(s.seenTerm, term)
 	s.changedAt = s.now()
 }
@@ -291,12 +336,16 @@
 
 // merge takes changes, unless the mirror was begun anew since they were asked for.
 func (s *Scheduler) merge(from uint64, reply *ledger.ChangesReply) {
+	s.readAt = s.now()
+
 	if reply.Term != s.seenTerm || reply.Renewals != s.renewals {
 		s.seenTerm = reply.Term
 		s.renewals = reply.Renewals
 		s.changedAt = s.now()
 	}
 
+	s.resigned = reply.Leader == "" && reply.Term > 0
+
 	if s.active && reply.Term > s.term {
 		s.depose(reply.Term)
 	}
@@ -319,6 +368,7 @@
 		return
 	}
 
+	s.retryEndings(ctx)
 	s.expire(ctx)
 
 	if !s.dirty {
@@ -421,27 +471,21 @@
 func (s *Scheduler) lose(ctx context.Context, id string, w *worker) {
 	w.live = false
 
-	if len(w.tasks) == 0 {
-		return
-	}
-
 	endings := make([]ledger.Ending, 0, len(w.tasks))
+
 	for ref := range w.tasks {
-		endings = append(endings, ledger.Ending{TaskRef: ref, State: mill.TaskPending, Reason: "worker was lost"})
+		if _, ending := s.mirror.ending[ref]; !ending {
+			endings = append(endings, ledger.Ending{TaskRef: ref, State: mill.TaskPending, Reason: "worker was lost"})
+		}
 	}
 
-	log.Warn().Str("worker", id).Int("tasks", len(endings)).Msg("worker lost")
-
-	result, err := s.propose(ctx, ledger.Command{End: &ledger.End{Term: s.term, Endings: endings}})
-	if err != nil {
+	if len(endings) == 0 {
 		return
 	}
 
-	for i := range endings {
-		s.mirror.end(&endings[i], id, result.Index)
-	}
+	log.Warn().Str("worker", id).Int("tasks", len(endings)).Msg("worker lost")
 
-	s.dirty = true
+	_ = s.commitEndings(ctx, endings)
 }
 
 func (s *Scheduler) placer() mill.Placer {
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -201,6 +205,15 @@
 	}
 }
 
+// resign gives a scheduler's lease up, as a planned stop does.
+func (w *world) resign(at int) {
+	s := w.schedulers[at]
+
+	if term := s.resignTerm(); term > 0 {
+		_, _ = s.ledgers.Propose(context.Background(), "dc", ledger.Command{Lead: &ledger.Lead{Term: term}})
+	}
+}
+
 // read has a scheduler read the ledger; what it read is merged later.
 func (w *world) read(at int) {
 	s := w.schedulers[at]
@@ -265,12 +278,12 @@
 		ID: f.id, Incarnation: f.incarnation, Capacity: mill.Resources{MilliCores: workerCores},
 	}
 
-	for ref := range f.running {
+	for _, ref := range sortedRefs(f.running) {
 		heartbeat.Reports = append(heartbeat.Reports, mill.TaskReport{TaskRef: ref, State: mill.TaskAssigned})
 	}
 
-	for ref, state := range f.ended {
-		heartbeat.Reports = append(heartbeat.Reports, mill.TaskReport{TaskRef: ref, State: state})
+	for _, ref := range sortedRefs(f.ended) {
+		heartbeat.Reports = append(heartbeat.Reports, mill.TaskReport{TaskRef: ref, State: f.ended[ref]})
 	}
 
 	return heartbeat
@@ -338,7 +351,7 @@
 		return
 	}
 
-	for ref := range f.running {
+	for _, ref := range sortedRefs(f.running) {
 		delete(f.running, ref)
 		f.ended[ref] = state
 
@@ -346,6 +359,38 @@
 	}
 }
 
+func sortedRefs[V any](refs map[mill.TaskRef]V) []mill.TaskRef {
+	return slices.SortedFunc(maps.Keys(refs), func(a, b mill.TaskRef) int {
+		return strings.Compare(fmt.Sprint(a), fmt.Sprint(b))
+	})
+}
+
+// describe says what each part knows, for a failure.
+func (w *world) describe() string {
+	var text strings.Builder
+
+	for _, s := range w.schedulers {
+		fmt.Fprintf(&text, "\n%s active %t term %d since %s authority %s loaded %t",
+			s.holder, s.active, s.term, w.ago(s.activeSince), w.ago(s.authority), s.loaded())
+
+		for id, known := range s.mirror.workers {
+			fmt.Fprintf(&text, "; %s live %t heard %s incarnation %d tasks %v",
+				id, known.live, w.ago(known.heard), known.incarnation, known.tasks)
+		}
+	}
+
+	for _, f := range w.workers {
+		fmt.Fprintf(&text, "\n%s incarnation %d lease %s running %v ended %v frozen %t ghost %v until %s",
+			f.id, f.incarnation, w.ago(f.lease), f.running, f.ended, f.frozen, f.ghost, w.ago(f.ghostLease))
+	}
+
+	return text.String()
+}
+
+func (w *world) ago(at time.Time) string {
+	return w.clock.Sub(at).String()
+}
+
 func (w *world) pass(length time.Duration) {
 	w.clock = w.clock.Add(length)
 	w.check()
@@ -381,7 +426,7 @@
 	for ref := range running {
 		id := taskID{job: ref.Job, index: ref.Index}
 		if other, ok := places[id]; ok {
-			w.t.Fatalf("task %v runs on %s and on %s", id, other, where)
+			w.t.Fatalf("task %v runs on %s and on %s: %s", id, other, where, w.describe())
 		}
 
 		places[id] = where
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"path/filepath"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/phuslu/log"
@@ -54,29 +55,41 @@
 		return err
 	}
 
-	group, ctx := errgroup.WithContext(ctx)
+	// The duties go on until what this store leads has been handed over.
+	behind, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+
+	group, behind := errgroup.WithContext(behind)
 	server := &wire.Server{}
 	watcher := ctrl.NewWatcher(s.client, s.settings.Map().Voters(s.vm))
 
+	handOvers := make([]func(ctx context.Context), 0, 2)
+
+	node, err := s.openLedger(behind, watcher)
+	if err != nil {
+		return err
+	}
+
+	node.Register(server)
+
+	handOvers = append(handOvers, node.HandOver)
+
 	if s.vm.Voter {
-		voter, err := s.openVoter(ctx)
+		voter, err := s.openVoter(behind)
 		if err != nil {
 			return err
 		}
 
 		voter.Register(server)
-		group.Go(func() error { return voter.Run(ctx) })
-	}
+		group.Go(func() error { return voter.Run(behind) })
 
-	node, err := s.openLedger(ctx, watcher)
-	if err != nil {
-		return err
+		handOvers = append(handOvers, voter.HandOver)
 	}
 
-	node.Register(server)
-	group.Go(func() error { return watcher.Run(ctx) })
-	group.Go(func() error { return node.Run(ctx) })
-	group.Go(func() error { return server.Serve(ctx, listener) })
+	group.Go(func() error { return watcher.Run(behind) })
+	group.Go(func() error { return node.Run(behind) })
+	group.Go(func() error { return server.Serve(behind, listener) })
+	group.Go(func() error { return handOver(ctx, behind, stop, handOvers) })
 
 	log.Info().Str("vm", s.vm.Name).Str("address", s.vm.Store).Bool("voter", s.vm.Voter).
 		Bool("durable", s.vm.Durable).Msg("store is serving")
@@ -84,6 +97,29 @@
 	return group.Wait()
 }
 
+const handOverTime = 3 * time.Second
+
+// handOver waits for the planned stop, passes on what the store leads, and
+// stops its duties.
+func handOver(ctx, behind context.Context, stop func(), handOvers []func(ctx context.Context)) error {
+	defer stop()
+
+	select {
+	case <-ctx.Done():
+	case <-behind.Done():
+		return nil
+	}
+
+	limit, cancel := context.WithTimeout(behind, handOverTime)
+	defer cancel()
+
+	for _, pass := range handOvers {
+		pass(limit)
+	}
+
+	return nil
+}
+
 // Init writes the first membership of the control log, this store alone, into
 // its data folder and reports whether there was none. The other voters are
 // admitted once they run.
