Count a worker as heard when it is admitted after the wait

A scheduler that had waited long enough admitted a worker that came back without its tasks, and did not note that it had been heard; it gave the worker its tasks again and then took it for lost.

Change: admission goes on to note the worker. TestWorkerAdmittedAfterWaitIsHeard fails on the old code and passes now.

Also: a second fuzzer of the consensus draws elections only.

--- a/internal/raft/fuzz_test.go
+++ b/internal/raft/fuzz_test.go
@@ -5,6 +5,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/cranberrymill/cranberrymill/internal/seeds"
 )
 
 // healRounds is enough for an election, catch-up and the admission of every server.
@@ -54,6 +56,33 @@
 	})
 }
 
+// TestFuzzElections draws elections only: candidates with short logs, votes that
+// cross, and servers that crash while they store a vote or an entry.
+func TestFuzzElections(t *testing.T) {
+	seeds.Checks(t, 3000)
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, "a", "b", "c")
+		w.heal(150)
+
+		draw := &drawer{w: w, name: rapid.SampledFrom(w.names)}
+
+		t.Repeat(map[string]func(*rapid.T){
+			"propose":      draw.propose,
+			"proposeAlone": draw.proposeAlone,
+			"lag":          draw.lag,
+			"contest":      draw.contest,
+			"win":          draw.win,
+			"winMore":      draw.win,
+			"crashSoon":    draw.crashSoon,
+			"restartAll":   draw.restartAll,
+			"rounds":       draw.rounds,
+			"mend":         draw.mend,
+		})
+
+		w.checkWorksAgain()
+	})
+}
+
 func (w *world) checkWorksAgain() {
 	w.heal(healRounds)
 
@@ -292,6 +321,39 @@
 	}
 }
 
+// win has one server stand for election while the others are ready to vote.
+func (d *drawer) win(t *rapid.T) {
+	d.restartAll(t)
+	d.isolateLeader(t)
+
+	candidate := d.name.Draw(t, "candidate")
+
+	for _, name := range d.w.names {
+		ticks := electionTicks
+		if name == candidate {
+			ticks = 2 * electionTicks
+		}
+
+		for range ticks {
+			d.w.tick(name)
+		}
+	}
+
+	for range len(d.w.network) * 2 {
+		if len(d.w.network) > 0 {
+			d.w.deliver(0, false)
+		}
+	}
+}
+
+func (d *drawer) restartAll(*rapid.T) {
+	for _, name := range d.w.names {
+		if d.w.servers[name].node == nil {
+			d.w.start(name)
+		}
+	}
+}
+
 // lag leaves one server behind and then takes the leader away.
 func (d *drawer) lag(t *rapid.T) {
 	d.isolate(t)
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -207,3 +207,45 @@
 		assert.Equal(t, len(f.running), before[f.id], f.id)
 	}
 }
+
+// TestWorkerAdmittedAfterWaitIsHeard has a worker come back without its tasks
+// just when a new scheduler has waited long enough to admit it. The worker is
+// given its tasks again, so it must count as heard, or they would be given to
+// another worker as well.
+func TestWorkerAdmittedAfterWaitIsHeard(t *testing.T) {
+	w := newWorld(t)
+	w.submit("job", mill.KindBatch, 1)
+	w.heal(8 * time.Second)
+
+	holder := 0
+	for i, f := range w.workers {
+		if len(f.running) > 0 {
+			holder = i
+		}
+	}
+
+	next := 0
+	if w.schedulers[0].active {
+		next = 1
+	}
+
+	w.links[1-next].cut = true
+	w.restart(holder, false)
+
+	for !w.schedulers[next].active || !w.schedulers[next].settled() {
+		w.renew(next, 0)
+		w.follow(next)
+		w.pass(100 * time.Millisecond)
+	}
+
+	w.heartbeat(holder, next, 0, false)
+
+	known := w.schedulers[next].mirror.worker(w.workers[holder].id)
+	assert.Equal(t, known.heard, w.clock)
+	assert.Equal(t, known.incarnation, w.workers[holder].incarnation)
+	assert.Equal(t, len(w.workers[holder].running), 1)
+
+	w.plan(next)
+	w.heartbeat((holder+1)%len(w.workers), next, 0, false)
+	w.check()
+}
--- a/internal/sched/heartbeat.go
+++ b/internal/sched/heartbeat.go
@@ -63,8 +63,8 @@
 
 	// A scheduler that has just become active does not know which process
 	// held the tasks, so the first one heard must report them.
-	if w.incarnation == 0 && len(w.tasks) > 0 && !reports(heartbeat, w) {
-		return s.settled()
+	if w.incarnation == 0 && len(w.tasks) > 0 && !reports(heartbeat, w) && !s.settled() {
+		return false
 	}
 
 	if !w.live {
