Pass watchers' streams on, and end them with a last event at a planned stop

Cause: a stream of events was buffered whole, so a watcher never saw one. A planned stop closed the listener at once, before a balancer could see /readyz.

An entry that stops says so for noticeMilli before it takes no more connections.

--- a/internal/conf/settings.go
+++ b/internal/conf/settings.go
@@ -29,6 +29,7 @@
 	Workers              int   `json:"workers"`
 	DefaultDeadlineMilli int64 `json:"defaultDeadlineMilli"`
 	LateAnswerMilli      int64 `json:"lateAnswerMilli"`
+	NoticeMilli          int64 `json:"noticeMilli"`
 	DrainMilli           int64 `json:"drainMilli"`
 	LeaseMilli           int64 `json:"leaseMilli"`
 	MemoryMiB            int64 `json:"memoryMiB"`
@@ -47,6 +48,7 @@
 			Workers:              4096,
 			DefaultDeadlineMilli: 30_000,
 			LateAnswerMilli:      60_000,
+			NoticeMilli:          2_000,
 			DrainMilli:           15_000,
 			LeaseMilli:           3_000,
 			MemoryMiB:            256,
@@ -74,7 +76,13 @@
 	return time.Duration(l.LateAnswerMilli) * time.Millisecond
 }
 
-// Drain returns how long a planned stop may take.
+// Notice returns how long an entry that is to stop says so before it takes no
+// more connections, so that the balancer sees it first.
+func (l *Limits) Notice() time.Duration {
+	return time.Duration(l.NoticeMilli) * time.Millisecond
+}
+
+// Drain returns how long requests in flight may take once no more are taken.
 func (l *Limits) Drain() time.Duration {
 	return time.Duration(l.DrainMilli) * time.Millisecond
 }
@@ -127,6 +135,7 @@
 		{"workers", int64(l.Workers), 1, 1 << 20},
 		{"defaultDeadlineMilli", l.DefaultDeadlineMilli, 1, 3_600_000},
 		{"lateAnswerMilli", l.LateAnswerMilli, 0, 3_600_000},
+		{"noticeMilli", l.NoticeMilli, 0, 60_000},
 		{"drainMilli", l.DrainMilli, 0, 600_000},
 		{"leaseMilli", l.LeaseMilli, 500, 60_000},
 		{"memoryMiB", l.MemoryMiB, 16, 1 << 20},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,7 @@
 	health        httpd.Health
 	meter         *meter.Meter
 	counters      counters
+	stopping      chan struct{}
 	ctx           context.Context
 	stop          context.CancelFunc
 }
@@ -64,6 +65,7 @@
 		client:      wire.NewClient(),
 		meter:       meter.New("entry", vm.Name),
 		remote:      newRemote(vm, settings.Map()),
+		stopping:    make(chan struct{}),
 	}
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.counters = newCounters(e.meter.Scope())
@@ -114,6 +116,8 @@
 	<-ctx.Done()
 	e.health.SetReady(false)
 	e.draining.Store(true)
+	time.Sleep(e.settings.Limits.Notice())
+	close(e.stopping)
 
 	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.settings.Limits.Drain())
 	defer cancel()
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -186,7 +186,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	return u.busy == 0
+	return u.busy == 0 && u.watchers == 0
 }
 
 // busy returns the slots in use and the requests that wait.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -41,6 +41,13 @@
 	}
 
 	ctx.Response.Header.Set(mill.HeaderRequestID, x.id)
+
+	if isWatcher(&ctx.Request.Header) {
+		e.watch(ctx, x)
+
+		return
+	}
+
 	e.answer(ctx, e.run(x))
 	e.counters.latency.RecordDuration(time.Since(started))
 }
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -229,6 +229,7 @@
 		u.told = told
 		u.heard = heard
 		u.share = shareOf(told.Slots, t.position, t.entries)
+		u.connections = shareOf(told.Connections, t.position, t.entries)
 		u.leaving = false
 
 		if !slices.Contains(l.upstreams, u) {
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -14,12 +14,16 @@
 // upstream is one executor of a service as this entry sees it. Its counts
 // belong to the lane of its service.
 type upstream struct {
-	told    mill.Announcement
-	heard   time.Time
-	share   int
-	busy    int
-	mean    time.Duration
-	leaving bool
+	told  mill.Announcement
+	heard time.Time
+	share int
+	busy  int
+	// connections and watchers are this entry's part of the connections, and
+	// how many of them watchers hold.
+	connections int
+	watchers    int
+	mean        time.Duration
+	leaving     bool
 
 	mu      sync.Mutex
 	address string
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -283,7 +283,7 @@
 		return nil, err
 	}
 
-	w := &world{upstream: upstream, ledger: &fakeLedger{state: ledger.NewState(), script: ledgerScript}}
+	w := &world{upstream: upstream, ledger: &fakeLedger{state: newState(), script: ledgerScript}}
 
 	var closers []func()
 
@@ -364,3 +364,7 @@
 		e.awaitIdle(ctx)
 	}
 }
+
+func newState() *ledger.State {
+	return ledger.NewState()
+}
--- a/test/scene/faults_test.go
+++ b/test/scene/faults_test.go
@@ -139,6 +139,11 @@
 
 	p := s.live[s.vms[1].Name].entry
 	p.signal(syscall.SIGTERM)
+
+	await(t, "readiness fails first", func() bool {
+		return send(t, http.MethodGet, at, "/readyz", "", "").status != http.StatusOK
+	})
+
 	time.Sleep(300 * time.Millisecond)
 	release()
 
--- a/test/scene/scene_test.go
+++ b/test/scene/scene_test.go
@@ -165,7 +165,7 @@
 	for _, vm := range s.vms {
 		writeJSON(t, s.settings(vm.Name), map[string]any{
 			"vm": vm.Name, "cluster": "cluster.json", "dataFolder": "data/" + vm.Name, "logLevel": "info",
-			"limits": map[string]any{"leaseMilli": 1000, "drainMilli": 5000, "lateAnswerMilli": 3000},
+			"limits": map[string]any{"leaseMilli": 1000, "drainMilli": 5000, "noticeMilli": 200, "lateAnswerMilli": 3000},
 		})
 	}
 
