Measure commits, failover, recovery, configuration and announcements

Cause: nothing had a figure yet, and the spreading of announcements was to be tried with push and without.

(Kunzmann et al. 2005: notify on a change so that the periodic repair can carry less.)

Change: beats are only for upstreams that the entry itself has heard, sent as arrays; a change is pushed.

Ruled out: dropping the beats altogether (an entry could not tell silence from an upstream that talks to another entry).

Conclusion: push and direct beats are kept.

--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -60,13 +62,23 @@
 	}
 }
 
-// beats returns a beat for each upstream.
+// beats returns a beat for each upstream that this entry itself has heard since
+// the last time: what it heard of others is theirs to pass on.
 func (t *table) beats(now time.Time) *Gossip {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
 	gossip := &Gossip{}
 
-	for _, b := range t.list(now) {
+	for _, id := range slices.Sorted(maps.Keys(t.byID)) {
+		known := t.byID[id]
+		if !known.direct {
+			continue
+		}
+
+		known.direct = false
 		gossip.Beats = append(gossip.Beats, Beat{
-			ID: b.told.ID, Incarnation: b.told.Incarnation, AgeMilli: b.age.Milliseconds(),
+			ID: id, Incarnation: known.told.Incarnation, AgeMilli: now.Sub(known.heard).Milliseconds(),
 		})
 	}
 
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -30,8 +30,11 @@
 	Incarnation uint64
 }
 
-// Beat says that an upstream was heard.
+// Beat says that an upstream was heard. It travels as an array, since beats are
+// most of what entries send each other.
 type Beat struct {
+	_ struct{} `cbor:",toarray"`
+
 	ID          string
 	Incarnation uint64
 	AgeMilli    int64
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -65,6 +65,10 @@
 	heard := now.Add(-age)
 	known, ok := t.byID[told.ID]
 
+	if ok && age == 0 {
+		known.direct = true
+	}
+
 	if ok && told.Incarnation < known.told.Incarnation {
 		return false
 	}
@@ -81,7 +85,7 @@
 		t.remove(known)
 	}
 
-	t.add(told, heard)
+	t.add(told, heard, age == 0)
 
 	return true
 }
@@ -214,7 +218,7 @@
 
 // add enters an upstream. A process that was known before keeps its count of
 // requests in flight: its slots must not be given out a second time.
-func (t *table) add(told mill.Announcement, heard time.Time) {
+func (t *table) add(told mill.Announcement, heard time.Time, direct bool) {
 	u := t.recall(told)
 
 	l, ok := t.lanes[told.Service]
@@ -231,6 +235,7 @@
 		u.share = shareOf(told.Slots, t.position, t.entries)
 		u.connections = shareOf(told.Connections, t.position, t.entries)
 		u.leaving = false
+		u.direct = u.direct || direct
 
 		if !slices.Contains(l.upstreams, u) {
 			l.upstreams = append(l.upstreams, u)
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -24,6 +24,8 @@
 	watchers    int
 	mean        time.Duration
 	leaving     bool
+	// direct is set when the upstream itself was heard since the last beats.
+	direct bool
 
 	mu      sync.Mutex
 	address string
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -40,6 +40,7 @@
 	wire    *wire.Client
 	control *ctrl.Watcher
 	stores  map[string][]string
+	batch   int
 	mu      sync.Mutex
 	lanes   map[string]*lane
 }
@@ -54,10 +55,18 @@
 		wire:    client,
 		control: control,
 		stores:  stores,
+		batch:   clientBatch,
 		lanes:   make(map[string]*lane),
 	}
 }
 
+// SetBatch bounds the commands in one call; 0 means the default.
+func (c *Client) SetBatch(batch int) {
+	if batch > 0 {
+		c.batch = batch
+	}
+}
+
 // Propose commits a command and returns its result. After mill.ErrUnavailable
 // the command may or may not be committed; after mill.ErrFull or
 // mill.ErrNotFound it is not.
@@ -176,7 +185,7 @@
 
 func (l *lane) run(ctx context.Context) {
 	for {
-		batch, err := l.queue.TakeBatch(ctx, clientBatch)
+		batch, err := l.queue.TakeBatch(ctx, l.client.batch)
 		if err != nil {
 			return
 		}
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -245,6 +245,11 @@
 	return applied
 }
 
+// SetCompaction sets the number of committed entries after which a snapshot is taken.
+func (r *Replica) SetCompaction(entries uint64) {
+	r.limits.compact = entries
+}
+
 // Leading reports whether the replica is the primary as far as it knows.
 func (r *Replica) Leading() bool {
 	return r.leading
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,6 +29,8 @@
 	lock     *disk.Lock
 	control  mill.Storage
 	ledger   mill.Storage
+	// batch bounds the events of the ledger that share one sync; 0 is the default.
+	batch int
 }
 
 // New opens the data folder of a store that is not running yet.
@@ -177,7 +179,7 @@
 		Durable:  s.ledger.Durable(),
 	}
 
-	return ledger.OpenNode(ctx, s.vm.DataCentre(), self, s.ledger, s.client, watcher, 0)
+	return ledger.OpenNode(ctx, s.vm.DataCentre(), self, s.ledger, s.client, watcher, s.batch)
 }
 
 func (s *Store) self() raft.Server {
