Shorten the watch of the control log to bound a frozen store

Cause: a change was in force after 1,602 ms on the entries that watch a frozen store: they waited 1.5 s for it before they asked another. The aim is 1 s.

Change: a watch lasts 500 ms, and 300 ms more before the next server is asked.

--- a/internal/ctrl/watcher.go
+++ b/internal/ctrl/watcher.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	watchTime   = time.Second
-	watchMargin = 500 * time.Millisecond
+	watchTime   = 500 * time.Millisecond
+	watchMargin = 300 * time.Millisecond
 	watchPause  = 100 * time.Millisecond
 )
 
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -158,9 +158,7 @@
 			continue
 		}
 
-		if heard.After(known.heard) {
-			known.heard = heard
-		}
+		known.hear(heard, false)
 	}
 
 	return missing
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -54,29 +54,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if age >= forgetTime {
-		return false
-	}
-
-	if left, ok := t.departed[told.ID]; ok && told.Incarnation <= left.incarnation {
+	if age >= forgetTime || t.outdated(&told) {
 		return false
 	}
 
 	heard := now.Add(-age)
 	known, ok := t.byID[told.ID]
 
-	if ok && age == 0 {
-		known.direct = true
-	}
-
-	if ok && told.Incarnation < known.told.Incarnation {
-		return false
-	}
-
 	if ok && known.told == told {
-		if heard.After(known.heard) {
-			known.heard = heard
-		}
+		known.hear(heard, age == 0)
 
 		return false
 	}
@@ -90,6 +76,18 @@
 	return true
 }
 
+// outdated reports whether an announcement is of a process that has left or
+// was replaced.
+func (t *table) outdated(told *mill.Announcement) bool {
+	if left, ok := t.departed[told.ID]; ok && told.Incarnation <= left.incarnation {
+		return true
+	}
+
+	known, ok := t.byID[told.ID]
+
+	return ok && told.Incarnation < known.told.Incarnation
+}
+
 // sameProcess reports whether an announcement comes from the process that is
 // known, so that the requests in flight to it go on counting.
 func sameProcess(known *upstream, told mill.Announcement) bool {
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -96,6 +96,15 @@
 	u.idle = nil
 }
 
+// hear notes that the upstream lived at a time, and whether it said so itself.
+func (u *upstream) hear(at time.Time, direct bool) {
+	u.direct = u.direct || direct
+
+	if at.After(u.heard) {
+		u.heard = at
+	}
+}
+
 func (u *upstream) observe(took time.Duration) {
 	if u.mean == 0 {
 		u.mean = took
