--- a/test/scene/faults_test.go
+++ b/test/scene/faults_test.go
@@ -216,3 +216,62 @@
 
 	return string(data)
 }
+
+// TestAcrossDataCentres sends through every data centre what only one can run,
+// and resends through another; then the others are frozen for long, and the one
+// that is left goes on, and they come back without disturbing it.
+func TestAcrossDataCentres(t *testing.T) {
+	s := newSystem(t, 3, 2, 1)
+	s.boot()
+
+	u := newUpstream(t)
+	u.keepAnnouncing(t, s.vms[0].HTTP, s.vms[1].HTTP)
+
+	for _, vm := range s.vms {
+		await(t, "the service is known at "+vm.Name, func() bool {
+			return send(t, http.MethodGet, vm.HTTP, "/booking/x", "", "").outcome == "ran"
+		})
+	}
+
+	far := send(t, http.MethodPost, s.vms[4].HTTP, "/booking/x", "far", "a")
+	assert.Equal(t, far.outcome, "ran")
+
+	for _, vm := range s.vms {
+		await(t, "the answer is replayed at "+vm.Name, func() bool {
+			again := send(t, http.MethodPost, vm.HTTP, "/booking/x", "far", "a")
+
+			return again.outcome == "ran" && again.replayed && again.body == far.body
+		})
+	}
+
+	assert.Equal(t, u.count("far"), 1)
+
+	for _, vm := range s.vms[2:] {
+		s.live[vm.Name].store.signal(syscall.SIGSTOP)
+		s.live[vm.Name].entry.signal(syscall.SIGSTOP)
+		s.live[vm.Name].sched.signal(syscall.SIGSTOP)
+	}
+
+	// The ledger of the home needs no other data centre; only changes of
+	// configuration and epochs wait.
+	time.Sleep(4 * time.Second)
+
+	alone := send(t, http.MethodPost, s.vms[0].HTTP, "/booking/x", "alone", "a")
+	assert.Equal(t, alone.outcome, "ran")
+
+	refused := change(t, s.vms[0].HTTP, "cut", 0, "ordinary")
+	assert.Assert(t, !refused.Accepted)
+
+	for _, vm := range s.vms[2:] {
+		s.live[vm.Name].store.signal(syscall.SIGCONT)
+		s.live[vm.Name].entry.signal(syscall.SIGCONT)
+		s.live[vm.Name].sched.signal(syscall.SIGCONT)
+	}
+
+	s.awaitWhole()
+
+	again := send(t, http.MethodPost, s.vms[5].HTTP, "/booking/x", "alone", "a")
+	assert.Equal(t, again.outcome, "ran")
+	assert.Assert(t, again.replayed)
+	assert.Equal(t, u.count("alone"), 1)
+}
