Read the jobs again after a refused placement, and hold the slot of a broken exchange

An ending that the ledger ignored (the attempt had ended) was noted as the scheduler's last write to the job, and every later read of the job was then taken for older than that; placements were refused for ever. Reads are now compared by the index at which they were made, and a refused placement has all jobs read again. - An upstream counted one request more than its slots. Two causes: the fake ended its work after its answer (mended in the fake: the work is over before the answer says so); and the entry gave the slot of a broken exchange out at once, though a connection that broke does not prove that the work stopped. Such a slot is now held for twice the mean time, 100 ms at the least.

--- a/internal/entry/jobs_api.go
+++ b/internal/entry/jobs_api.go
@@ -115,7 +115,7 @@
 		}
 
 		for i := range reply.Jobs {
-			jobs = append(jobs, JobReply{Job: reply.Jobs[i].Job, State: reply.Jobs[i].Job.State()})
+			jobs = append(jobs, JobReply{Job: reply.Jobs[i], State: reply.Jobs[i].State()})
 		}
 	}
 
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -97,6 +97,20 @@
 	l.serve()
 }
 
+// minHold is how long the slot of a broken exchange stays taken at the least.
+const minHold = 100 * time.Millisecond
+
+// releaseLater gives the slot of a broken exchange back after a while, limit at
+// the most: a connection that broke does not prove that the upstream stopped
+// working on the request.
+func (l *lane) releaseLater(u *upstream, limit time.Duration) {
+	l.mu.Lock()
+	hold := min(max(2*u.mean, minHold), limit)
+	l.mu.Unlock()
+
+	time.AfterFunc(hold, func() { l.release(u, 0) })
+}
+
 // update changes the upstreams and serves who waits.
 func (l *lane) update(change func()) {
 	l.mu.Lock()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -224,7 +224,12 @@
 func (e *Entry) perform(x *exchange, l *lane, u *upstream, done chan result) {
 	started := time.Now()
 	r := e.roundTrip(x, u)
-	l.release(u, time.Since(started))
+
+	if r.outcome == mill.OutcomeUnknown {
+		l.releaseLater(u, e.settings.Limits.LateAnswer())
+	} else {
+		l.release(u, time.Since(started))
+	}
 
 	done <- r
 
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -123,7 +123,6 @@
 	}
 
 	u.begin(id, key)
-	defer u.end()
 
 	if next == answersLate {
 		time.Sleep(slow)
@@ -133,6 +132,9 @@
 
 	body := "answer to " + string(request.Body())
 
+	// The work is over before the answer says so.
+	u.end()
+
 	switch next {
 	case diesAfterRun:
 		return false
--- a/internal/ledger/calls.go
+++ b/internal/ledger/calls.go
@@ -30,17 +30,13 @@
 	WaitMilli int64
 }
 
-// ChangedJob is a job with the index of its latest change.
-type ChangedJob struct {
-	Job   mill.Job
-	Index uint64
-}
-
 // ChangesReply holds changed jobs and the index to ask from next: nothing that
 // changed up to it is missing.
 type ChangesReply struct {
-	Jobs   []ChangedJob
-	Index  uint64
+	Jobs  []mill.Job
+	Index uint64
+	// Commit is the index of the last entry that the jobs include.
+	Commit uint64
 	Leader string
 	Term   uint64
 	// Renewals changes as long as the active scheduler is alive.
--- a/internal/ledger/jobs.go
+++ b/internal/ledger/jobs.go
@@ -233,7 +233,7 @@
 
 // since returns about limit jobs changed after index, the oldest change first,
 // and the index up to which nothing is missing: all, when none was left out.
-func (t *jobs) since(index uint64, limit int, all uint64) ([]ChangedJob, uint64) {
+func (t *jobs) since(index uint64, limit int, all uint64) ([]mill.Job, uint64) {
 	first := t.changed.Back()
 	for first != nil && first.Value.(*jobRecord).Index > index {
 		first = first.Prev()
@@ -245,7 +245,7 @@
 		first = first.Next()
 	}
 
-	var found []ChangedJob
+	var found []mill.Job
 
 	last := index
 
@@ -255,7 +255,7 @@
 			return found, last
 		}
 
-		found = append(found, ChangedJob{Job: cloneJob(&record.Job), Index: record.Index})
+		found = append(found, cloneJob(&record.Job))
 		last = record.Index
 	}
 
--- a/internal/ledger/node.go
+++ b/internal/ledger/node.go
@@ -165,7 +165,8 @@
 
 	err := n.read(ctx, func() {
 		state := n.replica.State()
-		reply.Jobs, reply.Index = state.Changes(request.Since, request.Limit, n.replica.Commit())
+		reply.Commit = n.replica.Commit()
+		reply.Jobs, reply.Index = state.Changes(request.Since, request.Limit, reply.Commit)
 		reply.Leader = state.leader
 		reply.Term = state.term
 		reply.Renewals = state.renewals
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -88,7 +88,7 @@
 
 // Changes returns about limit jobs changed after an index, and the index up to
 // which nothing is missing; commit is that of the state.
-func (s *State) Changes(since uint64, limit int, commit uint64) ([]ChangedJob, uint64) {
+func (s *State) Changes(since uint64, limit int, commit uint64) ([]mill.Job, uint64) {
 	return s.jobs.since(since, limit, commit)
 }
 
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -66,8 +66,8 @@
 
 	changed, _ := w.ledger.state.Changes(0, 1000, w.ledger.index)
 	for i := range changed {
-		if !changed[i].Job.Final() {
-			w.t.Fatalf("job %s has not ended: %+v", changed[i].Job.ID, changed[i].Job.Tasks)
+		if !changed[i].Final() {
+			w.t.Fatalf("job %s has not ended: %+v: %s", changed[i].ID, changed[i].Tasks, w.describe())
 		}
 	}
 }
--- a/internal/sched/heartbeat.go
+++ b/internal/sched/heartbeat.go
@@ -171,8 +171,8 @@
 	}
 
 	endings := make([]ledger.Ending, 0, len(s.mirror.ending))
-	for _, ending := range s.mirror.ending {
-		endings = append(endings, ending)
+	for _, ref := range sortedRefs(s.mirror.ending) {
+		endings = append(endings, s.mirror.ending[ref])
 	}
 
 	_ = s.commitEndings(ctx, endings)
@@ -213,7 +213,7 @@
 		}
 	}
 
-	for ref := range w.tasks {
+	for _, ref := range sortedRefs(w.tasks) {
 		job, ok := s.mirror.assigned(ref, heartbeat.ID)
 		_, ending := s.mirror.ending[ref]
 
--- a/internal/sched/mirror.go
+++ b/internal/sched/mirror.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cranberrymill/cranberrymill/internal/ledger"
@@ -28,10 +30,10 @@
 	}
 }
 
-// update takes a form of a job, unless it was read before this scheduler's last write to it.
-func (m *mirror) update(changed ledger.ChangedJob) {
-	job := changed.Job
-	if changed.Index < m.written[job.ID] {
+// update takes a form of a job that was read at an index, unless this scheduler
+// has written to it since.
+func (m *mirror) update(job mill.Job, readAt uint64) {
+	if readAt < m.written[job.ID] {
 		return
 	}
 
@@ -110,6 +112,17 @@
 	return job, task.State == mill.TaskAssigned && task.Attempt == ref.Attempt && task.Worker == to
 }
 
+// sortedRefs returns the keys in an order that does not change from run to run.
+func sortedRefs[V any](refs map[mill.TaskRef]V) []mill.TaskRef {
+	return slices.SortedFunc(maps.Keys(refs), func(a, b mill.TaskRef) int {
+		return cmp.Or(
+			cmp.Compare(a.Job, b.Job),
+			cmp.Compare(a.Index, b.Index),
+			cmp.Compare(a.Attempt, b.Attempt),
+		)
+	})
+}
+
 func refOf(job *mill.Job, index int) mill.TaskRef {
 	return mill.TaskRef{Job: job.ID, Index: index, Attempt: job.Tasks[index].Attempt}
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -355,7 +357,7 @@
 	}
 
 	for i := range reply.Jobs {
-		s.mirror.update(reply.Jobs[i])
+		s.mirror.update(reply.Jobs[i], reply.Commit)
 	}
 
 	s.index = max(s.index, reply.Index)
@@ -394,6 +396,7 @@
 
 	if result.Status != ledger.StatusOK {
 		log.Warn().Str("reason", result.Reason).Msg("placement refused")
+		s.readAgain(result.Index)
 
 		return nil
 	}
@@ -405,6 +408,14 @@
 	return nil
 }
 
+// readAgain has every job read again up to an index, at which the ledger has
+// shown that the mirror is not like it.
+func (s *Scheduler) readAgain(index uint64) {
+	s.index = 0
+	s.loadedFrom = index
+	s.dirty = true
+}
+
 // place notes a placement that the ledger has committed.
 func (m *mirror) place(placement *ledger.Placement, index uint64) {
 	job, ok := m.jobs[placement.Job]
@@ -454,7 +465,8 @@
 		return
 	}
 
-	for id, w := range s.mirror.workers {
+	for _, id := range slices.Sorted(maps.Keys(s.mirror.workers)) {
+		w := s.mirror.workers[id]
 		heard := w.heard
 		if heard.Before(s.activeSince) {
 			heard = s.activeSince
@@ -473,7 +485,7 @@
 
 	endings := make([]ledger.Ending, 0, len(w.tasks))
 
-	for ref := range w.tasks {
+	for _, ref := range sortedRefs(w.tasks) {
 		if _, ending := s.mirror.ending[ref]; !ending {
 			endings = append(endings, ledger.Ending{TaskRef: ref, State: mill.TaskPending, Reason: "worker was lost"})
 		}
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -62,7 +60,7 @@
 		return nil, errCut
 	}
 
-	reply := &ledger.ChangesReply{}
+	reply := &ledger.ChangesReply{Commit: l.index}
 	reply.Jobs, reply.Index = l.state.Changes(request.Since, request.Limit, l.index)
 	reply.Leader, reply.Term, reply.Renewals = l.state.Leader()
 
@@ -359,19 +357,14 @@
 	}
 }
 
-func sortedRefs[V any](refs map[mill.TaskRef]V) []mill.TaskRef {
-	return slices.SortedFunc(maps.Keys(refs), func(a, b mill.TaskRef) int {
-		return strings.Compare(fmt.Sprint(a), fmt.Sprint(b))
-	})
-}
-
 // describe says what each part knows, for a failure.
 func (w *world) describe() string {
 	var text strings.Builder
 
 	for _, s := range w.schedulers {
-		fmt.Fprintf(&text, "\n%s active %t term %d since %s authority %s loaded %t",
-			s.holder, s.active, s.term, w.ago(s.activeSince), w.ago(s.authority), s.loaded())
+		fmt.Fprintf(&text, "\n%s active %t term %d since %s authority %s loaded %t index %d of %d dirty %t jobs %d ending %d",
+			s.holder, s.active, s.term, w.ago(s.activeSince), w.ago(s.authority), s.loaded(),
+			s.index, w.ledger.index, s.dirty, len(s.mirror.jobs), len(s.mirror.ending))
 
 		for id, known := range s.mirror.workers {
 			fmt.Fprintf(&text, "; %s live %t heard %s incarnation %d tasks %v",
