Have the planned stop's test really send, and check that nothing is open at its end

Change: the entry says that it is ready, the test fails when it should have sent something and did not, and at the end no connection may be open.

--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -7,11 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -53,6 +56,7 @@
 	stop     context.CancelFunc
 	done     chan error
 	upstream net.Listener
+	server   *fasthttp.Server
 }
 
 func newStopped(delay time.Duration) (*stopped, error) {
@@ -85,6 +89,7 @@
 	}
 
 	e.intents = &fakeLedger{state: newState()}
+	e.health.SetReady(true)
 	e.table.announce(mill.Announcement{
 		ID: "u", Incarnation: 1, Service: "booking", Address: upstreams.Addr().String(), Slots: 8, Connections: 64,
 	}, 0, time.Now())
@@ -92,11 +97,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &stopped{
 		entry: e, address: callers.Addr().String(), stop: cancel, done: make(chan error, 1), upstream: upstreams,
+		server: e.newServer(),
 	}
-	server := e.newServer()
 
-	go func() { _ = server.Serve(callers) }()
-	go func() { s.done <- e.drainAfter(ctx, server) }()
+	go func() { _ = s.server.Serve(callers) }()
+	go func() { s.done <- e.drainAfter(ctx, s.server) }()
 
 	return s, nil
 }
@@ -156,6 +161,7 @@
 		var group sync.WaitGroup
 
 		failures := make(chan string, len(starts))
+		sent := atomic.Int64{}
 
 		for i, start := range starts {
 			group.Go(func() {
@@ -165,6 +171,8 @@
 					return
 				}
 
+				sent.Add(1)
+
 				key := fmt.Sprint("key", i)
 				body, outcome, err := s.request(key)
 
@@ -176,9 +184,16 @@
 
 		time.Sleep(at)
 		s.stop()
-		group.Wait()
 		assert.NilError(t, <-s.done)
 
+		// The process ends now, so nothing may be open any more.
+		assert.Assert(t, s.server.GetOpenConnectionsCount() <= 0)
+		group.Wait()
+
+		if slices.Min(starts) < int(at.Milliseconds())-20 && sent.Load() == 0 {
+			t.Fatalf("nothing was sent before the stop")
+		}
+
 		select {
 		case failure := <-failures:
 			t.Fatalf("a request was cut: %s", failure)
