--- a/internal/raft/fuzz_test.go
+++ b/internal/raft/fuzz_test.go
@@ -377,3 +377,27 @@
 		d.w.cut[d.w.link(other, name)] = true
 	}
 }
+
+// TestLargeEntriesAreCompacted keeps changes of the whole configuration from
+// filling the memory of every server.
+func TestLargeEntriesAreCompacted(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.heal(healRounds)
+
+	leader := w.servers[w.leading()[0]]
+	leader.node.limits.compact = 1 << 20
+
+	for range 100 {
+		_, _, err := leader.node.Propose(make([]byte, 1<<20))
+		assert.NilError(t, err)
+		w.settle(leader)
+		w.round()
+	}
+
+	held := 0
+	for i := range leader.node.log.list {
+		held += len(leader.node.log.list[i].Data)
+	}
+
+	assert.Assert(t, held <= 2*compactBytes, held)
+}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -17,6 +17,7 @@
 	entriesAtOnce   = 64
 	maxOutstanding  = 1024
 	compactEntries  = 1024
+	compactBytes    = 4 << 20
 	retainedEntries = 256
 )
 
@@ -50,7 +51,9 @@
 	ticks    int
 	out      drive.Output[Message]
 	hasVote  bool
-	limits   limits
+	// bytes counts the data of the entries stored since the last snapshot.
+	bytes  int
+	limits limits
 }
 
 var _ drive.Machine[Message] = (*Node)(nil)
@@ -247,7 +250,7 @@
 }
 
 func (n *Node) maybeCompact() {
-	if n.commit-n.stored < n.limits.compact {
+	if n.commit-n.stored < n.limits.compact && (n.bytes < compactBytes || n.commit == n.stored) {
 		return
 	}
 
@@ -258,8 +261,21 @@
 
 	n.writeSnapshot(snapshot)
 
-	if n.commit-n.log.base > n.limits.retained {
-		n.log.rebase(n.commit - n.limits.retained)
+	n.dropCompacted()
+}
+
+// dropCompacted drops what the snapshot holds from memory, but for some entries
+// that a server which is a little behind needs, unless those are large.
+func (n *Node) dropCompacted() {
+	retained := n.limits.retained
+	if n.bytes >= compactBytes {
+		retained = 0
+	}
+
+	n.bytes = 0
+
+	if n.commit-n.log.base > retained {
+		n.log.rebase(n.commit - retained)
 	}
 }
 
@@ -296,6 +312,7 @@
 }
 
 func (n *Node) writeEntry(entry *Entry) {
+	n.bytes += len(entry.Data)
 	n.write(&record{Entry: entry})
 }
 
