Make the first quarter of an hour work as the README says

Cause: run as a new user would, the README's job failed: the example declarations name Žilina's data centres as homes. Errors ended in words of the code ("not found: refused"), a finished job could not be explained, epochs stood in the audit trail at 1970, and the first scheduler waited 3 s for nobody.

--- a/internal/cmds/client.go
+++ b/internal/cmds/client.go
@@ -92,7 +92,7 @@
 		return merry.Prepend(mill.ErrInvalid, reason)
 	}
 
-	return merry.Prepend(errRefused, reason)
+	return merry.Apply(errRefused, merry.WithMessage(reason))
 }
 
 // show writes a value as indented JSON.
--- a/internal/ctrl/command.go
+++ b/internal/ctrl/command.go
@@ -17,6 +17,8 @@
 type Command struct {
 	Change *Change     `cbor:",omitempty"`
 	Epoch  *mill.Epoch `cbor:",omitempty"`
+	// UnixMilli is when an epoch was asked for, for the audit trail.
+	UnixMilli int64 `cbor:",omitempty"`
 }
 
 // Verdict is the answer to a Command.
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -54,7 +54,7 @@
 	case command.Change != nil:
 		s.verdict = s.change(command.Change)
 	case command.Epoch != nil:
-		s.verdict = s.epoch(command.Epoch)
+		s.verdict = s.epoch(command.Epoch, command.UnixMilli)
 	default:
 		s.verdict = Verdict{Reason: "empty command"}
 	}
@@ -163,7 +163,7 @@
 
 // epoch accepts the epoch that follows the one in force. Its primary must have
 // been a replica, and no more than one replica may be new.
-func (s *State) epoch(next *mill.Epoch) Verdict {
+func (s *State) epoch(next *mill.Epoch, at int64) Verdict {
 	current := s.view.Epochs[next.Ledger]
 
 	if current.Number == next.Number && sameEpoch(&current, next) {
@@ -180,12 +180,13 @@
 
 	s.view.Epochs[next.Ledger] = *next
 	s.record(AuditRecord{
-		Kind:    AuditEpoch,
-		Who:     next.Primary.VM,
-		From:    current.Number,
-		To:      next.Number,
-		Subject: next.Ledger,
-		Digest:  digest(next),
+		UnixMilli: at,
+		Kind:      AuditEpoch,
+		Who:       next.Primary.VM,
+		From:      current.Number,
+		To:        next.Number,
+		Subject:   next.Ledger,
+		Digest:    digest(next),
 	})
 
 	return Verdict{Accepted: true, Version: next.Number}
--- a/internal/entry/jobs_api.go
+++ b/internal/entry/jobs_api.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"strings"
 	"time"
 
@@ -53,6 +54,13 @@
 	}
 
 	home := e.jobHome(spec.Team)
+	if len(e.settings.Map().In(home)) == 0 {
+		httpd.WriteError(ctx, merry.Prependf(mill.ErrInvalid,
+			"team %q: its declared home %q is no data centre of this system", spec.Team, home))
+
+		return
+	}
+
 	id := jobID(home, spec.Team, key)
 
 	if _, err := e.writeJob(home, ledger.Command{Submit: &ledger.Submit{ID: id, Spec: spec}}); err != nil {
@@ -72,24 +80,50 @@
 		return
 	}
 
-	limit, cancel := context.WithTimeout(e.ctx, jobTime)
+	job, err := e.findJob(id)
+	if err != nil {
+		httpd.WriteError(ctx, err)
+
+		return
+	}
+
+	httpd.WriteJSON(ctx, fasthttp.StatusOK, JobReply{Job: *job, State: job.State()})
+}
+
+func (e *Entry) findJob(id string) (*mill.Job, error) {
+	ctx, cancel := context.WithTimeout(e.ctx, jobTime)
 	defer cancel()
 
-	reply, err := e.ledgers.Find(limit, homeOf(id), id)
-	if err == nil && !reply.Found {
-		err = merry.Prependf(mill.ErrNotFound, "job %q", id)
+	reply, err := e.ledgers.Find(ctx, homeOf(id), id)
+	if errors.Is(err, mill.ErrNotFound) || (err == nil && !reply.Found) {
+		return nil, merry.Prependf(mill.ErrNotFound, "job %q", id)
 	}
 
+	if err != nil {
+		return nil, err
+	}
+
+	return &reply.Job, nil
+}
+
+// explainJob asks the active scheduler, unless the job has ended: schedulers
+// know only jobs that have not.
+func (e *Entry) explainJob(ctx *fasthttp.RequestCtx, id string) {
+	job, err := e.findJob(id)
 	if err != nil {
 		httpd.WriteError(ctx, err)
 
 		return
 	}
 
-	httpd.WriteJSON(ctx, fasthttp.StatusOK, JobReply{Job: reply.Job, State: reply.Job.State()})
-}
+	if job.Final() {
+		httpd.WriteJSON(ctx, fasthttp.StatusOK, sched.ExplainReply{
+			Job: id, Verdict: "it has ended: " + string(job.State()),
+		})
+
+		return
+	}
 
-func (e *Entry) explainJob(ctx *fasthttp.RequestCtx, id string) {
 	reply, err := askSched[sched.ExplainRequest, sched.ExplainReply](
 		e, sched.MethodExplain, &sched.ExplainRequest{Job: id})
 	if err != nil {
--- a/internal/ledger/node.go
+++ b/internal/ledger/node.go
@@ -311,7 +311,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, wishTime)
 	defer cancel()
 
-	return n.control.Propose(ctx, &ctrl.Command{Epoch: epoch})
+	return n.control.Propose(ctx, &ctrl.Command{Epoch: epoch, UnixMilli: time.Now().UnixMilli()})
 }
 
 func (n *Node) followEpochs(ctx context.Context) {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -346,7 +346,7 @@
 		s.changedAt = s.now()
 	}
 
-	s.resigned = reply.Leader == "" && reply.Term > 0
+	s.resigned = reply.Leader == ""
 
 	if s.active && reply.Term > s.term {
 		s.depose(reply.Term)
--- a/test/scene/path_test.go
+++ b/test/scene/path_test.go
@@ -148,3 +148,53 @@
 	p.signal(syscall.SIGTERM)
 	assert.NilError(t, <-p.done)
 }
+
+// TestOperatorsDay applies declarations, switches the preset, submits a job and
+// follows it, as the README shows it to a newcomer.
+func TestOperatorsDay(t *testing.T) {
+	s := newSystem(t, 1, 1, 1)
+	vm := s.vms[0]
+	start(t, s.folder, "run", "--settings", s.settings(vm.Name))
+
+	examples, err := filepath.Abs("../../examples/local")
+	assert.NilError(t, err)
+
+	operate := func(arguments ...string) string {
+		output, code := once(t, s.folder, append(arguments, "--entry", vm.HTTP)...)
+		assert.Equal(t, code, 0, "%v: %s", arguments, output)
+
+		return output
+	}
+
+	await(t, "a change is accepted", func() bool {
+		_, code := once(t, s.folder, "apply", "--entry", vm.HTTP, "--id", "first", "--base", "0",
+			filepath.Join(examples, "declarations"))
+
+		return code == 0
+	})
+
+	assert.Assert(t, cmp.Contains(operate("preset", "show"), "ordinary is in force at version 1"))
+	assert.Assert(t, cmp.Contains(operate("preset", "switch", "peak", "--why", "Saturday"), "version 2 is accepted"))
+
+	output, code := once(t, s.folder, "preset", "switch", "--entry", vm.HTTP, "--base", "1", "ordinary")
+	assert.Equal(t, code, 1)
+	assert.Assert(t, cmp.Contains(output, "version 2 is in force"))
+
+	id := strings.TrimSpace(operate("job", "submit", filepath.Join(examples, "job.json"), "--key", "nightly"))
+	assert.Equal(t, strings.TrimSpace(operate("job", "submit", filepath.Join(examples, "job.json"), "--key", "nightly")), id)
+	assert.Assert(t, cmp.Contains(operate("job", "list"), id))
+
+	await(t, "the scheduler is active", func() bool {
+		output, code := once(t, s.folder, "job", "explain", "--entry", vm.HTTP, id)
+
+		return code == 0 && strings.Contains(output, "no worker is live")
+	})
+
+	operate("job", "cancel", id)
+	assert.Assert(t, cmp.Contains(operate("job", "explain", id), "it has ended: canceled"))
+	assert.Assert(t, cmp.Contains(operate("audit"), "preset peak  1 -> 2"))
+
+	output, code = once(t, s.folder, "job", "show", "--entry", vm.HTTP, "nope")
+	assert.Equal(t, code, 1)
+	assert.Assert(t, cmp.Contains(output, `job "nope": not found`))
+}
