--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,7 +95,8 @@
 
 	server := e.newServer()
 
-	var duties errgroup.Group
+	// A duty that fails stops the entry as planned.
+	duties, ctx := errgroup.WithContext(ctx)
 
 	duties.Go(func() error { return e.control.Run(e.ctx) })
 	duties.Go(func() error { return e.runGossip(e.ctx) })
--- a/internal/sched/heartbeat.go
+++ b/internal/sched/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cranberrymill/cranberrymill/internal/ledger"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
@@ -81,9 +82,15 @@
 
 // settled reports whether every lease has run out that an earlier scheduler gave.
 func (s *Scheduler) settled() bool {
+	return s.now().Sub(s.activeSince) > authorityTime+s.grace()
+}
+
+// grace returns how long after its last heartbeat a worker may be running its
+// tasks, by a clock that differs from the worker's.
+func (s *Scheduler) grace() time.Duration {
 	lease := s.settings.Limits.Lease()
 
-	return s.now().Sub(s.activeSince) > authorityTime+lease+lease/driftPart
+	return lease + lease/driftPart
 }
 
 // reports reports whether a heartbeat names any task that the worker holds.
@@ -178,24 +185,6 @@
 	_ = s.commitEndings(ctx, endings)
 }
 
-// end notes an ending until the ledger's form of the job arrives.
-func (m *mirror) end(ending *ledger.Ending, index uint64) {
-	delete(m.ending, ending.TaskRef)
-
-	job, ok := m.jobs[ending.Job]
-	if !ok || job.Tasks[ending.Index].Attempt != ending.Attempt {
-		return
-	}
-
-	m.worker(job.Tasks[ending.Index].Worker).release(ending.TaskRef)
-
-	m.written[ending.Job] = index
-
-	task := &job.Tasks[ending.Index]
-	task.State = ending.State
-	task.Worker = ""
-}
-
 // order tells the worker to run what it does not hold yet, and to stop what is
 // not its own or not wanted any more.
 func (s *Scheduler) order(w *worker, heartbeat *mill.Heartbeat, orders *mill.Orders) {
--- a/internal/sched/mirror.go
+++ b/internal/sched/mirror.go
@@ -112,6 +112,44 @@
 	return job, task.State == mill.TaskAssigned && task.Attempt == ref.Attempt && task.Worker == to
 }
 
+// place notes a placement that the ledger has committed.
+func (m *mirror) place(placement *ledger.Placement, index uint64) {
+	job, ok := m.jobs[placement.Job]
+	if !ok {
+		return
+	}
+
+	m.written[placement.Job] = index
+
+	task := &job.Tasks[placement.Index]
+	if task.State != mill.TaskPending || placement.Attempt != task.Attempt+1 {
+		return
+	}
+
+	task.State = mill.TaskAssigned
+	task.Attempt = placement.Attempt
+	task.Worker = placement.Worker
+	m.worker(placement.Worker).take(placement.TaskRef, job.Spec.Each)
+}
+
+// end notes an ending until the ledger's form of the job arrives.
+func (m *mirror) end(ending *ledger.Ending, index uint64) {
+	delete(m.ending, ending.TaskRef)
+
+	job, ok := m.jobs[ending.Job]
+	if !ok || job.Tasks[ending.Index].Attempt != ending.Attempt {
+		return
+	}
+
+	m.worker(job.Tasks[ending.Index].Worker).release(ending.TaskRef)
+
+	m.written[ending.Job] = index
+
+	task := &job.Tasks[ending.Index]
+	task.State = ending.State
+	task.Worker = ""
+}
+
 // sortedRefs returns the keys in an order that does not change from run to run.
 func sortedRefs[V any](refs map[mill.TaskRef]V) []mill.TaskRef {
 	return slices.SortedFunc(maps.Keys(refs), func(a, b mill.TaskRef) int {
--- /dev/null
+++ b/internal/sched/place.go
@@ -0,0 +1,64 @@
+package sched
+
+import (
+	"context"
+
+	"github.com/phuslu/log"
+
+	"github.com/cranberrymill/cranberrymill/internal/ledger"
+	"github.com/cranberrymill/cranberrymill/internal/place"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// tick ends what silent workers held and places what is pending.
+func (s *Scheduler) tick(ctx context.Context) {
+	if !s.active || !s.loaded() {
+		return
+	}
+
+	s.retryEndings(ctx)
+	s.expire(ctx)
+
+	if !s.dirty {
+		return
+	}
+
+	s.dirty = false
+
+	for _, placements := range s.mirror.plan(s.placer()) {
+		if err := s.assign(ctx, placements); err != nil {
+			s.dirty = true
+
+			return
+		}
+	}
+}
+
+func (s *Scheduler) assign(ctx context.Context, placements []ledger.Placement) error {
+	result, err := s.propose(ctx, ledger.Command{Assign: &ledger.Assign{Term: s.term, Placements: placements}})
+	if err != nil {
+		return err
+	}
+
+	if result.Status != ledger.StatusOK {
+		log.Warn().Str("reason", result.Reason).Msg("placement refused")
+		s.readAgain(result.Index)
+
+		return nil
+	}
+
+	for i := range placements {
+		s.mirror.place(&placements[i], result.Index)
+	}
+
+	return nil
+}
+
+func (s *Scheduler) placer() mill.Placer {
+	newPlacer, err := mill.Placers.Find(s.control.View().InForce().Placer)
+	if err != nil {
+		return place.Spread{}
+	}
+
+	return newPlacer()
+}
