Share the fake disk and network of the state machine tests

Cause: the worlds of the ledger and of the consensus had the same disk, crash points and links written twice.

Change: internal/fakes has them once; both worlds use it.

--- /dev/null
+++ b/internal/fakes/disk.go
@@ -0,0 +1,57 @@
+package fakes
+
+import (
+	"slices"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// Disk is a mill.Storage that the test keeps over crashes of its process.
+type Disk struct {
+	identity string
+	durable  bool
+	snapshot []byte
+	records  [][]byte
+}
+
+var _ mill.Storage = (*Disk)(nil)
+
+// NewDisk returns an empty disk.
+func NewDisk(identity string, durable bool) *Disk {
+	return &Disk{identity: identity, durable: durable}
+}
+
+// Load returns the snapshot and the records after it.
+func (d *Disk) Load() ([]byte, [][]byte, error) {
+	return d.snapshot, slices.Clone(d.records), nil
+}
+
+// Append adds records.
+func (d *Disk) Append(records ...[]byte) error {
+	d.records = append(d.records, records...)
+
+	return nil
+}
+
+// Compact replaces all content by a snapshot and the records after it.
+func (d *Disk) Compact(snapshot []byte, records ...[]byte) error {
+	d.snapshot = snapshot
+	d.records = slices.Clone(records)
+
+	return nil
+}
+
+// Durable returns what the disk was made with.
+func (d *Disk) Durable() bool {
+	return d.durable
+}
+
+// Identity returns what the disk was made with.
+func (d *Disk) Identity() string {
+	return d.identity
+}
+
+// Close does nothing.
+func (d *Disk) Close() error {
+	return nil
+}
--- a/internal/ledger/fuzz_test.go
+++ b/internal/ledger/fuzz_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/cranberrymill/cranberrymill/internal/fakes"
 )
 
 // healRounds is enough for suspicion, an epoch, catch-up and admission of three copies.
@@ -158,21 +160,21 @@
 }
 
 func (d *drawer) deliver(t *rapid.T) {
-	if len(d.w.network) > 0 {
-		d.w.deliver(rapid.IntRange(0, len(d.w.network)-1).Draw(t, "at"), false)
+	if d.w.network.Len() > 0 {
+		d.w.deliver(rapid.IntRange(0, d.w.network.Len()-1).Draw(t, "at"), false)
 	}
 }
 
 func (d *drawer) duplicate(t *rapid.T) {
-	if len(d.w.network) > 0 {
-		d.w.deliver(rapid.IntRange(0, len(d.w.network)-1).Draw(t, "at"), true)
+	if d.w.network.Len() > 0 {
+		d.w.deliver(rapid.IntRange(0, d.w.network.Len()-1).Draw(t, "at"), true)
 	}
 }
 
 func (d *drawer) drop(t *rapid.T) {
-	if len(d.w.network) > 0 {
-		at := rapid.IntRange(0, len(d.w.network)-1).Draw(t, "at")
-		d.w.network = append(d.w.network[:at], d.w.network[at+1:]...)
+	if d.w.network.Len() > 0 {
+		at := rapid.IntRange(0, d.w.network.Len()-1).Draw(t, "at")
+		d.w.network.Drop(at)
 	}
 }
 
@@ -218,7 +220,7 @@
 }
 
 func (d *drawer) crashSoon(t *rapid.T) {
-	points := []crashPoint{crashBeforeSave, crashAfterSave}
+	points := []fakes.CrashPoint{fakes.CrashBeforeSave, fakes.CrashAfterSave}
 	d.w.copies[d.name.Draw(t, "name")].crash = rapid.SampledFrom(points).Draw(t, "point")
 }
 
@@ -230,17 +232,14 @@
 
 func (d *drawer) freeze(t *rapid.T) { d.w.copies[d.name.Draw(t, "name")].frozen = true }
 func (d *drawer) thaw(t *rapid.T)   { d.w.copies[d.name.Draw(t, "name")].frozen = false }
-func (d *drawer) mend(*rapid.T)     { clear(d.w.cut) }
+func (d *drawer) mend(*rapid.T)     { d.w.network.Mend() }
 
 func (d *drawer) cut(t *rapid.T) {
-	d.w.cut[d.w.link(d.name.Draw(t, "from"), d.name.Draw(t, "to"))] = true
+	d.w.network.Cut(d.name.Draw(t, "from"), d.name.Draw(t, "to"))
 }
 
 func (d *drawer) isolate(t *rapid.T) {
 	name := d.name.Draw(t, "name")
 
-	for _, other := range d.w.names {
-		d.w.cut[d.w.link(name, other)] = true
-		d.w.cut[d.w.link(other, name)] = true
-	}
+	d.w.network.Isolate(name, d.w.names)
 }
--- a/internal/ledger/world_test.go
+++ b/internal/ledger/world_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/cranberrymill/cranberrymill/internal/ctrl"
+	"github.com/cranberrymill/cranberrymill/internal/fakes"
 	"github.com/cranberrymill/cranberrymill/internal/seeds"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
@@ -16,50 +17,14 @@
 	seeds.Exit(m.Run, 20000)
 }
 
-// fakeDisk is a storage whose content outlives a crash when it is durable.
-type fakeDisk struct {
-	identity string
-	durable  bool
-	snapshot []byte
-	records  [][]byte
-}
-
-func (d *fakeDisk) Load() ([]byte, [][]byte, error) { return d.snapshot, slices.Clone(d.records), nil }
-
-func (d *fakeDisk) Append(records ...[]byte) error {
-	d.records = append(d.records, records...)
-
-	return nil
-}
-
-func (d *fakeDisk) Compact(snapshot []byte, records ...[]byte) error {
-	d.snapshot = snapshot
-	d.records = slices.Clone(records)
-
-	return nil
-}
-
-func (d *fakeDisk) Durable() bool    { return d.durable }
-func (d *fakeDisk) Identity() string { return d.identity }
-func (d *fakeDisk) Close() error     { return nil }
-
-// crashPoint says where in writing its output a copy dies.
-type crashPoint int
-
-const (
-	crashNever crashPoint = iota
-	crashBeforeSave
-	crashAfterSave
-)
-
 // copyOf is one copy of the ledger in the world; replica is nil while it is down.
 type copyOf struct {
 	name    string
 	durable bool
-	disk    *fakeDisk
+	disk    *fakes.Disk
 	replica *Replica
 	frozen  bool
-	crash   crashPoint
+	crash   fakes.CrashPoint
 	asking  []mill.Epoch
 }
 
@@ -73,8 +38,7 @@
 	t         failer
 	names     []string
 	copies    map[string]*copyOf
-	network   []Message
-	cut       map[string]bool
+	network   *fakes.Network[Message]
 	control   *ctrl.State
 	revision  uint64
 	epochs    []mill.Epoch
@@ -88,7 +52,7 @@
 	w := &world{
 		t:         t,
 		copies:    make(map[string]*copyOf),
-		cut:       make(map[string]bool),
+		network:   fakes.NewNetwork(func(m Message) (string, string) { return m.From.VM, m.Address }),
 		control:   ctrl.NewState(),
 		committed: make(map[uint64]string),
 		limits:    limits{compact: 12, retained: 3},
@@ -104,7 +68,7 @@
 }
 
 func (w *world) member(c *copyOf) mill.Member {
-	return mill.Member{VM: c.name, Identity: c.disk.identity, Address: c.name, Durable: c.durable}
+	return mill.Member{VM: c.name, Identity: c.disk.Identity(), Address: c.name, Durable: c.durable}
 }
 
 // start opens a copy; one without a disk comes back with nothing and another identity.
@@ -112,7 +76,7 @@
 	c := w.copies[name]
 	if c.disk == nil || !c.durable {
 		w.lives++
-		c.disk = &fakeDisk{identity: fmt.Sprintf("%s%d", name, w.lives), durable: c.durable}
+		c.disk = fakes.NewDisk(fmt.Sprintf("%s%d", name, w.lives), c.durable)
 	}
 
 	replica, err := Open("dc", w.member(c), c.disk)
@@ -123,7 +87,7 @@
 	replica.limits = w.limits
 	c.replica = replica
 	c.frozen = false
-	c.crash = crashNever
+	c.crash = fakes.CrashNever
 	c.asking = nil
 	w.settle(c)
 }
@@ -139,49 +103,19 @@
 
 // settle performs what a copy wants done, or as much as its crash point lets it.
 func (w *world) settle(c *copyOf) {
-	for c.replica != nil {
-		output := c.replica.Take()
-		if output.Empty() {
-			break
-		}
-
-		w.send(output.Early)
-
-		if c.crash == crashBeforeSave {
-			c.replica = nil
-
-			return
-		}
-
-		if output.Snapshot != nil {
-			_ = c.disk.Compact(output.Snapshot, output.Records...)
-		} else {
-			_ = c.disk.Append(output.Records...)
-		}
-
-		if c.crash == crashAfterSave {
-			c.replica = nil
+	if c.replica == nil {
+		return
+	}
 
-			return
-		}
+	if !fakes.Perform[Message](c.replica, c.disk, c.crash, w.network.Send) {
+		c.replica = nil
 
-		c.replica.Saved()
-		w.send(output.Late)
+		return
 	}
 
 	w.observe(c)
 }
 
-func (w *world) send(messages []Message) {
-	const maxNetwork = 200
-
-	for _, message := range messages {
-		if len(w.network) < maxNetwork {
-			w.network = append(w.network, message)
-		}
-	}
-}
-
 // observe compares what a copy has committed with what any copy has before.
 func (w *world) observe(c *copyOf) {
 	if c.replica == nil {
@@ -213,17 +147,12 @@
 	w.committed[index] = string(data)
 }
 
-func (w *world) link(from, to string) string { return from + ">" + to }
-
 // deliver hands over the message at a position unless its link is cut.
 func (w *world) deliver(at int, keep bool) {
-	message := w.network[at]
-	if !keep {
-		w.network = slices.Delete(w.network, at, at+1)
-	}
+	message, to, ok := w.network.Take(at, keep)
 
-	c := w.copies[message.Address]
-	if c == nil || c.replica == nil || c.frozen || w.cut[w.link(message.From.VM, message.Address)] {
+	c := w.copies[to]
+	if !ok || c == nil || c.replica == nil || c.frozen {
 		return
 	}
 
@@ -301,11 +230,11 @@
 
 // heal ends all faults and lets time pass fairly.
 func (w *world) heal(rounds int) {
-	clear(w.cut)
+	w.network.Mend()
 
 	for _, name := range w.names {
 		w.copies[name].frozen = false
-		w.copies[name].crash = crashNever
+		w.copies[name].crash = fakes.CrashNever
 
 		if w.copies[name].replica == nil {
 			w.start(name)
@@ -339,7 +268,7 @@
 		}
 	}
 
-	for range len(w.network) {
+	for range w.network.Len() {
 		w.deliver(0, false)
 	}
 }
@@ -367,7 +296,7 @@
 
 	for _, name := range w.names {
 		c := w.copies[name]
-		if c.disk != nil && (c.durable || c.replica != nil) && epoch.Has(c.disk.identity) {
+		if c.disk != nil && (c.durable || c.replica != nil) && epoch.Has(c.disk.Identity()) {
 			return true
 		}
 	}
@@ -396,7 +325,7 @@
 		c := w.copies[name]
 		r := c.replica
 		text += fmt.Sprintf("; %s %s leading %t epoch %d ballot %v pledge %t wish %t wishing %t asking %d commit %d last %d",
-			name, c.disk.identity, r.leading, r.epoch.Number, r.ballot, r.pledge != nil, r.wish != nil, r.wishing,
+			name, c.disk.Identity(), r.leading, r.epoch.Number, r.ballot, r.pledge != nil, r.wish != nil, r.wishing,
 			len(c.asking), r.commit, r.log.last())
 	}
 
--- a/internal/raft/fuzz_test.go
+++ b/internal/raft/fuzz_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/cranberrymill/cranberrymill/internal/fakes"
 	"github.com/cranberrymill/cranberrymill/internal/seeds"
 )
 
@@ -147,10 +148,7 @@
 		alone = w.names[1]
 	}
 
-	for _, other := range w.names {
-		w.cut[w.link(alone, other)] = true
-		w.cut[w.link(other, alone)] = true
-	}
+	w.network.Isolate(alone, w.names)
 
 	for range healRounds {
 		w.round()
@@ -165,14 +163,14 @@
 	w := newWorld(t, "a", "b", "c")
 	w.heal(healRounds)
 
-	lost := w.servers["b"].disk.identity
+	lost := w.servers["b"].disk.Identity()
 	w.loseDisk("b")
 	w.heal(healRounds)
 
 	membership := w.servers[w.leading()[0]].node.Membership()
 	assert.Equal(t, len(membership.Servers), 3)
 	assert.Assert(t, !membership.Has(lost))
-	assert.Assert(t, membership.Has(w.servers["b"].disk.identity))
+	assert.Assert(t, membership.Has(w.servers["b"].disk.Identity()))
 }
 
 var sizes = [][]string{{"a", "b", "c"}, {"a", "b", "c"}, {"a", "b", "c", "d", "e"}}
@@ -213,21 +211,21 @@
 }
 
 func (d *drawer) deliver(t *rapid.T) {
-	if len(d.w.network) > 0 {
-		d.w.deliver(rapid.IntRange(0, len(d.w.network)-1).Draw(t, "at"), false)
+	if d.w.network.Len() > 0 {
+		d.w.deliver(rapid.IntRange(0, d.w.network.Len()-1).Draw(t, "at"), false)
 	}
 }
 
 func (d *drawer) duplicate(t *rapid.T) {
-	if len(d.w.network) > 0 {
-		d.w.deliver(rapid.IntRange(0, len(d.w.network)-1).Draw(t, "at"), true)
+	if d.w.network.Len() > 0 {
+		d.w.deliver(rapid.IntRange(0, d.w.network.Len()-1).Draw(t, "at"), true)
 	}
 }
 
 func (d *drawer) drop(t *rapid.T) {
-	if len(d.w.network) > 0 {
-		at := rapid.IntRange(0, len(d.w.network)-1).Draw(t, "at")
-		d.w.network = append(d.w.network[:at], d.w.network[at+1:]...)
+	if d.w.network.Len() > 0 {
+		at := rapid.IntRange(0, d.w.network.Len()-1).Draw(t, "at")
+		d.w.network.Drop(at)
 	}
 }
 
@@ -240,7 +238,7 @@
 }
 
 func (d *drawer) crashSoon(t *rapid.T) {
-	points := []crashPoint{crashBeforeSave, crashAfterSave}
+	points := []fakes.CrashPoint{fakes.CrashBeforeSave, fakes.CrashAfterSave}
 	d.w.servers[d.name.Draw(t, "name")].crash = rapid.SampledFrom(points).Draw(t, "point")
 }
 
@@ -253,10 +251,10 @@
 
 func (d *drawer) freeze(t *rapid.T) { d.w.servers[d.name.Draw(t, "name")].frozen = true }
 func (d *drawer) thaw(t *rapid.T)   { d.w.servers[d.name.Draw(t, "name")].frozen = false }
-func (d *drawer) mend(*rapid.T)     { clear(d.w.cut) }
+func (d *drawer) mend(*rapid.T)     { d.w.network.Mend() }
 
 func (d *drawer) cut(t *rapid.T) {
-	d.w.cut[d.w.link(d.name.Draw(t, "from"), d.name.Draw(t, "to"))] = true
+	d.w.network.Cut(d.name.Draw(t, "from"), d.name.Draw(t, "to"))
 }
 
 func (d *drawer) killLeader(*rapid.T) {
@@ -279,17 +277,14 @@
 	}
 
 	reached := d.name.Draw(t, "reached")
-	before := len(d.w.network)
+	before := d.w.network.Len()
 
 	d.w.propose(leading[0])
 
-	sent := d.w.network[min(before, len(d.w.network)):]
-	d.w.network = d.w.network[:len(d.w.network)-len(sent)]
-
-	for _, message := range sent {
+	for _, message := range d.w.network.Since(before) {
 		if message.Address == reached {
-			d.w.network = append(d.w.network, message)
-			d.w.deliver(len(d.w.network)-1, false)
+			d.w.network.Send([]Message{message})
+			d.w.deliver(d.w.network.Len()-1, false)
 		}
 	}
 }
@@ -339,8 +334,8 @@
 		}
 	}
 
-	for range len(d.w.network) * 2 {
-		if len(d.w.network) > 0 {
+	for range d.w.network.Len() * 2 {
+		if d.w.network.Len() > 0 {
 			d.w.deliver(0, false)
 		}
 	}
@@ -363,7 +358,7 @@
 		d.w.round()
 	}
 
-	clear(d.w.cut)
+	d.w.network.Mend()
 	d.isolateLeader(t)
 }
 
@@ -372,10 +367,7 @@
 }
 
 func (d *drawer) cutOff(name string) {
-	for _, other := range d.w.names {
-		d.w.cut[d.w.link(name, other)] = true
-		d.w.cut[d.w.link(other, name)] = true
-	}
+	d.w.network.Isolate(name, d.w.names)
 }
 
 // TestLargeEntriesAreCompacted keeps changes of the whole configuration from
--- a/internal/raft/world_test.go
+++ b/internal/raft/world_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 
+	"github.com/cranberrymill/cranberrymill/internal/fakes"
 	"github.com/cranberrymill/cranberrymill/internal/seeds"
 )
 
@@ -13,41 +13,6 @@
 	seeds.Exit(m.Run, 4000)
 }
 
-// fakeDisk is a storage whose content outlives a crash.
-type fakeDisk struct {
-	identity string
-	snapshot []byte
-	records  [][]byte
-}
-
-func (d *fakeDisk) Load() ([]byte, [][]byte, error) { return d.snapshot, slices.Clone(d.records), nil }
-
-func (d *fakeDisk) Append(records ...[]byte) error {
-	d.records = append(d.records, records...)
-
-	return nil
-}
-
-func (d *fakeDisk) Compact(snapshot []byte, records ...[]byte) error {
-	d.snapshot = snapshot
-	d.records = slices.Clone(records)
-
-	return nil
-}
-
-func (d *fakeDisk) Durable() bool    { return true }
-func (d *fakeDisk) Identity() string { return d.identity }
-func (d *fakeDisk) Close() error     { return nil }
-
-// crashPoint says where in writing its output a server dies.
-type crashPoint int
-
-const (
-	crashNever crashPoint = iota
-	crashBeforeSave
-	crashAfterSave
-)
-
 // fakeMachine is a state machine that remembers what was applied.
 type fakeMachine struct {
 	w       *world
@@ -73,11 +38,11 @@
 // server is one server in the world; node is nil while it is down.
 type server struct {
 	name   string
-	disk   *fakeDisk
+	disk   *fakes.Disk
 	node   *Node
 	state  *fakeMachine
 	frozen bool
-	crash  crashPoint
+	crash  fakes.CrashPoint
 }
 
 // failer is a test, or a check of a test.
@@ -90,8 +55,7 @@
 	t        failer
 	names    []string
 	servers  map[string]*server
-	network  []Message
-	cut      map[string]bool
+	network  *fakes.Network[Message]
 	lives    int
 	sequence int
 	// committed is the log that any server has applied, by index.
@@ -105,7 +69,7 @@
 		t:         t,
 		names:     names,
 		servers:   make(map[string]*server),
-		cut:       make(map[string]bool),
+		network:   fakes.NewNetwork(func(m Message) (string, string) { return m.From.VM, m.Address }),
 		committed: make(map[uint64]string),
 		leaders:   make(map[uint64]string),
 	}
@@ -129,11 +93,11 @@
 
 func (w *world) newDisk(name string) {
 	w.lives++
-	w.servers[name].disk = &fakeDisk{identity: fmt.Sprintf("%s%d", name, w.lives)}
+	w.servers[name].disk = fakes.NewDisk(fmt.Sprintf("%s%d", name, w.lives), true)
 }
 
 func (w *world) serverOf(s *server) Server {
-	return Server{VM: s.name, Identity: s.disk.identity, Address: s.name}
+	return Server{VM: s.name, Identity: s.disk.Identity(), Address: s.name}
 }
 
 func (w *world) start(name string) {
@@ -158,7 +122,7 @@
 	node.limits = limits{compact: 12, retained: 3}
 	s.node = node
 	s.frozen = false
-	s.crash = crashNever
+	s.crash = fakes.CrashNever
 	w.settle(s)
 }
 
@@ -173,49 +137,19 @@
 }
 
 func (w *world) settle(s *server) {
-	for s.node != nil {
-		output := s.node.Take()
-		if output.Empty() {
-			break
-		}
-
-		w.send(output.Early)
-
-		if s.crash == crashBeforeSave {
-			s.node = nil
-
-			return
-		}
-
-		if output.Snapshot != nil {
-			_ = s.disk.Compact(output.Snapshot, output.Records...)
-		} else {
-			_ = s.disk.Append(output.Records...)
-		}
-
-		if s.crash == crashAfterSave {
-			s.node = nil
+	if s.node == nil {
+		return
+	}
 
-			return
-		}
+	if !fakes.Perform[Message](s.node, s.disk, s.crash, w.network.Send) {
+		s.node = nil
 
-		s.node.Saved()
-		w.send(output.Late)
+		return
 	}
 
 	w.checkLeader(s)
 }
 
-func (w *world) send(messages []Message) {
-	const maxNetwork = 200
-
-	for _, message := range messages {
-		if len(w.network) < maxNetwork {
-			w.network = append(w.network, message)
-		}
-	}
-}
-
 // check compares what is applied at an index with what any server has applied there.
 func (w *world) check(index uint64, data string) {
 	known, ok := w.committed[index]
@@ -233,23 +167,18 @@
 	}
 
 	known, ok := w.leaders[s.node.Term()]
-	if ok && known != s.disk.identity {
+	if ok && known != s.disk.Identity() {
 		w.t.Fatalf("two leaders in term %d", s.node.Term())
 	}
 
-	w.leaders[s.node.Term()] = s.disk.identity
+	w.leaders[s.node.Term()] = s.disk.Identity()
 }
 
-func (w *world) link(from, to string) string { return from + ">" + to }
-
 func (w *world) deliver(at int, keep bool) {
-	message := w.network[at]
-	if !keep {
-		w.network = slices.Delete(w.network, at, at+1)
-	}
+	message, to, ok := w.network.Take(at, keep)
 
-	s := w.servers[message.Address]
-	if s == nil || s.node == nil || s.frozen || w.cut[w.link(message.From.VM, message.Address)] {
+	s := w.servers[to]
+	if !ok || s == nil || s.node == nil || s.frozen {
 		return
 	}
 
@@ -272,17 +201,17 @@
 		w.tick(name)
 	}
 
-	for range len(w.network) {
+	for range w.network.Len() {
 		w.deliver(0, false)
 	}
 }
 
 func (w *world) heal(rounds int) {
-	clear(w.cut)
+	w.network.Mend()
 
 	for _, name := range w.names {
 		w.servers[name].frozen = false
-		w.servers[name].crash = crashNever
+		w.servers[name].crash = fakes.CrashNever
 
 		if w.servers[name].node == nil {
 			w.start(name)
@@ -338,7 +267,7 @@
 
 func (w *world) allVote(membership Membership) bool {
 	for _, name := range w.names {
-		if !membership.Has(w.servers[name].disk.identity) {
+		if !membership.Has(w.servers[name].disk.Identity()) {
 			return false
 		}
 	}
@@ -350,7 +279,7 @@
 	left := 0
 
 	for _, name := range w.names {
-		if name != lost && membership.Has(w.servers[name].disk.identity) {
+		if name != lost && membership.Has(w.servers[name].disk.Identity()) {
 			left++
 		}
 	}
@@ -365,7 +294,7 @@
 	for _, name := range w.names {
 		n := w.servers[name].node
 		fmt.Fprintf(&text, "; %s role %d term %d voted %q leader %q commit %d last %d (term %d) voters %v",
-			w.servers[name].disk.identity, n.role, n.term, n.votedFor, n.leader.Identity, n.commit, n.log.last(),
+			w.servers[name].disk.Identity(), n.role, n.term, n.votedFor, n.leader.Identity, n.commit, n.log.last(),
 			n.log.lastTerm(), n.log.membership.Servers)
 	}
 
