Test the hand-over of a planned stop on the real programs

Cause: the planned stop of a store and of a scheduler had run in the state machine tests only. The calls of an entry's own interface were put in a table anew for each of them.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,7 @@
 	health        httpd.Health
 	meter         *meter.Meter
 	counters      counters
+	calls         map[string]apiCall
 	stopping      chan struct{}
 	ctx           context.Context
 	stop          context.CancelFunc
@@ -75,6 +76,7 @@
 	e.intents = e.ledgers
 	e.incarnationOf = e.askIncarnation
 	e.table = e.newTable()
+	e.calls = e.newCalls()
 
 	return e, e.openPools()
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -29,7 +29,7 @@
 		call += "/"
 	}
 
-	action, ok := e.calls()[call]
+	action, ok := e.calls[call]
 	if !ok {
 		ctx.Error("no such call: "+string(ctx.Method())+" "+string(ctx.Path()), fasthttp.StatusNotFound)
 
@@ -39,10 +39,13 @@
 	action(ctx, rest)
 }
 
-// calls returns the system's own calls: method and first segment, and a slash
+// apiCall answers one of the system's own calls; rest is the path after its name.
+type apiCall func(ctx *fasthttp.RequestCtx, rest string)
+
+// newCalls returns the system's own calls: method and first segment, and a slash
 // where an id follows.
-func (e *Entry) calls() map[string]func(ctx *fasthttp.RequestCtx, rest string) {
-	return map[string]func(ctx *fasthttp.RequestCtx, rest string){
+func (e *Entry) newCalls() map[string]apiCall {
+	return map[string]apiCall{
 		"POST upstreams":    e.postUpstream,
 		"GET upstreams":     e.getUpstreams,
 		"DELETE upstreams/": e.deleteUpstream,
--- a/test/scene/faults_test.go
+++ b/test/scene/faults_test.go
@@ -275,3 +275,39 @@
 	assert.Assert(t, again.replayed)
 	assert.Equal(t, u.count("alone"), 1)
 }
+
+// TestPlannedStopHandsOver stops the store that leads and the active scheduler
+// with SIGTERM, and expects exit code 0, the next keyed request to run, and
+// another scheduler to be active.
+func TestPlannedStopHandsOver(t *testing.T) {
+	s := newSystem(t, 1, 3, 3)
+	s.boot()
+
+	at := s.vms[0].HTTP
+	u := newUpstream(t)
+	u.keepAnnouncing(t, at)
+
+	await(t, "a keyed request runs", func() bool {
+		return send(t, http.MethodPost, at, "/booking/x", "k0", "a").outcome == "ran"
+	})
+
+	before := s.status().Ledgers[0]
+	leading := s.live[before.Primary].store
+	leading.signal(syscall.SIGTERM)
+	assert.NilError(t, <-leading.done)
+
+	// The primacy was handed over before the process ended.
+	after := s.status().Ledgers[0]
+	assert.Assert(t, after.Primary != before.Primary, "%+v", after)
+	assert.Equal(t, send(t, http.MethodPost, at, "/booking/x", "k1", "a").outcome, "ran")
+
+	active := s.live[before.Scheduler].sched
+	active.signal(syscall.SIGTERM)
+	assert.NilError(t, <-active.done)
+
+	await(t, "another scheduler is active", func() bool {
+		scheduler := s.status().Ledgers[0].Scheduler
+
+		return scheduler != "" && scheduler != before.Scheduler
+	})
+}
