--- a/internal/ctrl/bench_test.go
+++ b/internal/ctrl/bench_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"testing"
 
+	"github.com/cranberrymill/cranberrymill/internal/fakes"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -63,7 +64,7 @@
 	for _, changes := range []int{220, 2200, 16000} {
 		b.Run(fmt.Sprintf("changes=%d", changes), func(b *testing.B) {
 			for b.Loop() {
-				before := heap()
+				before := fakes.Heap()
 				s := NewState()
 				d := declarationsOf(4)
 
@@ -78,18 +79,9 @@
 					s.Apply(uint64(i+1), data)
 				}
 
-				b.ReportMetric(float64(heap()-before)/1024, "KiB")
+				b.ReportMetric(float64(fakes.Heap()-before)/1024, "KiB")
 				runtime.KeepAlive(s)
 			}
 		})
 	}
 }
-
-func heap() uint64 {
-	var stats runtime.MemStats
-
-	runtime.GC()
-	runtime.ReadMemStats(&stats)
-
-	return stats.HeapAlloc
-}
--- a/internal/ctrl/watcher.go
+++ b/internal/ctrl/watcher.go
@@ -22,7 +22,6 @@
 	client    *wire.Client
 	addresses []string
 	view      atomic.Pointer[View]
-	heard     atomic.Int64
 	mu        sync.Mutex
 	changed   chan struct{}
 }
@@ -63,11 +62,6 @@
 	return w.changed
 }
 
-// Heard returns when a voter last answered.
-func (w *Watcher) Heard() time.Time {
-	return time.UnixMilli(w.heard.Load())
-}
-
 // Propose commits a command through the first voter that can.
 func (w *Watcher) Propose(ctx context.Context, command *Command) (*Verdict, error) {
 	last := mill.ErrUnavailable
@@ -139,8 +133,6 @@
 		return false
 	}
 
-	w.heard.Store(time.Now().UnixMilli())
-
 	w.take(reply.View)
 
 	return !reply.Leaderless
--- a/internal/entry/serve_bench_test.go
+++ b/internal/entry/serve_bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/cranberrymill/cranberrymill/internal/fakes"
 	"github.com/cranberrymill/cranberrymill/internal/route"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -64,7 +65,7 @@
 	for _, upstreams := range []int{48, 367, 4400} {
 		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
 			for b.Loop() {
-				before := heap()
+				before := fakes.Heap()
 				t := newTable(0, 1, func() mill.Router { return &route.LeastWait{} }, func(string) int { return 8 })
 
 				for i := range upstreams {
@@ -74,18 +75,9 @@
 					}, 0, time.Now())
 				}
 
-				b.ReportMetric(float64(heap()-before)/1024, "KiB")
+				b.ReportMetric(float64(fakes.Heap()-before)/1024, "KiB")
 				runtime.KeepAlive(t)
 			}
 		})
 	}
 }
-
-func heap() uint64 {
-	var stats runtime.MemStats
-
-	runtime.GC()
-	runtime.ReadMemStats(&stats)
-
-	return stats.HeapAlloc
-}
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"runtime"
 	"testing"
 
+	"github.com/cranberrymill/cranberrymill/internal/fakes"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -57,9 +57,9 @@
 
 	for _, size := range sizes {
 		b.Run(fmt.Sprintf("tasks=%d/intents=%d", size.tasks, size.intents), func(b *testing.B) {
-			before := heap()
+			before := fakes.Heap()
 			s := filled(size.tasks, size.intents)
-			held := float64(heap()-before) / 1024
+			held := float64(fakes.Heap()-before) / 1024
 
 			for b.Loop() {
 				data, err := s.Save()
@@ -74,12 +74,3 @@
 		})
 	}
 }
-
-func heap() uint64 {
-	var stats runtime.MemStats
-
-	runtime.GC()
-	runtime.ReadMemStats(&stats)
-
-	return stats.HeapAlloc
-}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -24,17 +24,6 @@
 	return len(m.Servers)/2 + 1
 }
 
-// Find returns the voter of that identity.
-func (m *Membership) Find(identity string) (Server, bool) {
-	for _, server := range m.Servers {
-		if server.Identity == identity {
-			return server, true
-		}
-	}
-
-	return Server{}, false
-}
-
 // With returns the membership with a server added.
 func (m *Membership) With(server Server) Membership {
 	return Membership{Servers: append(slices.Clone(m.Servers), server)}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -72,11 +72,6 @@
 	return batch, nil
 }
 
-// Len returns the number of values in the ring.
-func (r *Ring[T]) Len() int {
-	return len(r.open())
-}
-
 func (r *Ring[T]) open() chan T {
 	r.once.Do(func() {
 		if r.capacity <= 0 {
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cranberrymill/cranberrymill/internal/fakes"
 	"github.com/cranberrymill/cranberrymill/internal/place"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -105,21 +106,12 @@
 			var m *mirror
 
 			for b.Loop() {
-				before := heap()
+				before := fakes.Heap()
 				m = crowded(workers, 0)
-				b.ReportMetric(float64(heap()-before)/1024, "KiB")
+				b.ReportMetric(float64(fakes.Heap()-before)/1024, "KiB")
 			}
 
 			runtime.KeepAlive(m)
 		})
 	}
 }
-
-func heap() uint64 {
-	var stats runtime.MemStats
-
-	runtime.GC()
-	runtime.ReadMemStats(&stats)
-
-	return stats.HeapAlloc
-}
