Serve the users' platform, thin: one replicated log over the core, jobs of several steps

Cause: nothing of the product ran on the users' platform.

Setups and jobs are one state machine (internal/jobs) on one Raft group (internal/group, which the control log now uses too). The leader's scheduler (internal/lead) commits a placement before it orders the start, with decisions in internal/plan. platform/ translates the platform's calls. Messages between servers now flow over streams without waiting for each round trip.

Ruled out while the first plays failed: no leader, since the membership written at the first start was not read back (the folder is opened again); tasks placed over and over, since a worker that had not been heard from by this leader counted as lost even where no earlier leader had placed anything.

Before: no program ran.

--- a/internal/cmds/table.go
+++ b/internal/cmds/table.go
@@ -8,6 +8,8 @@
 		cmdStore(),
 		cmdStoreInit(),
 		cmdSched(),
+		cmdPlatformEntry(),
+		cmdPlatformStore(),
 		cmdCheck(),
 		cmdApply(),
 		cmdPresetShow(),
@@ -28,8 +30,9 @@
 // groups holds the help of the first words that have subcommands.
 func groups() map[string]string {
 	return map[string]string{
-		"preset": "Show or switch the preset in force.",
-		"job":    "Submit and follow jobs.",
-		"store":  "Run the store of this VM, or begin the control log on it.",
+		"preset":   "Show or switch the preset in force.",
+		"job":      "Submit and follow jobs.",
+		"platform": "Run a process on the users' platform.",
+		"store":    "Run the store of this VM, or begin the control log on it.",
 	}
 }
--- /dev/null
+++ b/internal/core/calls.go
@@ -0,0 +1,374 @@
+package core
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/phuslu/log"
+
+	"github.com/cranberrymill/cranberrymill/internal/drive"
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/wire"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+func (c *Core) register(server *wire.Server) {
+	c.host.Register(server)
+	wire.HandleStream(server, MethodPassOn, c.passedOn)
+	wire.Handle(server, MethodSubmit, c.submit)
+	wire.Handle(server, MethodState, c.state)
+	wire.Handle(server, MethodCancel, c.cancel)
+	wire.Handle(server, MethodPending, c.pending)
+	wire.Handle(server, MethodConfigure, c.configure)
+	wire.Handle(server, MethodSetup, c.setup)
+	wire.Handle(server, MethodFollow, c.follow)
+	wire.Handle(server, MethodAdvise, NewAdviseHandler(c.config.Advisor))
+}
+
+// NewAdviseHandler returns the function that answers MethodAdvise by an advisor.
+func NewAdviseHandler(advisor mill.Advisor) func(ctx context.Context, request *AdviseRequest) (*AdviseReply, error) {
+	return func(ctx context.Context, request *AdviseRequest) (*AdviseReply, error) {
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(request.LimitMilli)*time.Millisecond)
+		defer cancel()
+
+		advice, err := advisor.Advise(ctx, request.Step, request.Workers)
+		if err != nil {
+			return nil, err
+		}
+
+		return &AdviseReply{Advice: *advice}, nil
+	}
+}
+
+// scheduling returns ErrNotPrimary unless this process leads and knows all that is committed.
+func (c *Core) scheduling() error {
+	if c.runner.Load() == nil {
+		return merry.Prepend(mill.ErrNotPrimary, c.config.VM, merry.NoCaptureStack())
+	}
+
+	return nil
+}
+
+func (c *Core) submit(ctx context.Context, request *SubmitRequest) (*SubmitReply, error) {
+	if err := c.scheduling(); err != nil {
+		return nil, err
+	}
+
+	if request.Term != c.host.Role().Term {
+		return nil, merry.Prepend(mill.ErrNotPrimary, "another term", merry.NoCaptureStack())
+	}
+
+	id, queue, known := c.lookUp(request)
+
+	switch {
+	case queue == "":
+		return &SubmitReply{Receipt: mill.Receipt{Verdict: mill.VerdictNoQueue}}, nil
+	case known:
+		return &SubmitReply{Receipt: mill.Receipt{Verdict: mill.VerdictAccepted}}, nil
+	default:
+	}
+
+	results, err := c.commit(ctx, jobs.Command{Submit: &jobs.Submit{
+		Job:       id,
+		Queue:     queue,
+		Work:      request.Work,
+		UnixMilli: time.Now().UnixMilli(),
+	}})
+	if err != nil {
+		return nil, err
+	}
+
+	verdict := mill.VerdictAccepted
+	if results[0] == jobs.ResultNoQueue {
+		verdict = mill.VerdictNoQueue
+	}
+
+	log.Info().Str("job", id).Str("queue", queue).Int("steps", len(request.Work.Steps)).Msg("job accepted")
+
+	return &SubmitReply{Receipt: mill.Receipt{Verdict: verdict}}, nil
+}
+
+// lookUp returns the id and queue of a submission, "" where no queue takes it, and
+// whether the job is known.
+func (c *Core) lookUp(request *SubmitRequest) (id, queue string, known bool) {
+	c.machine.view(func(state *jobs.State) {
+		if state.Setup() == nil {
+			return
+		}
+
+		found, rest, ok := state.Setup().Find(request.Host, request.Path)
+		if !ok || rest == "" || strings.Contains(rest, "/") {
+			return
+		}
+
+		id, queue = rest, found.Name
+		_, known = state.Job(id)
+	})
+
+	return id, queue, known
+}
+
+// find calls a function with the job of a request, or returns ErrNoQueue or ErrNotFound.
+func (c *Core) find(request *JobRequest, read func(job *jobs.Job)) error {
+	if err := c.scheduling(); err != nil {
+		return err
+	}
+
+	var err error
+
+	c.machine.view(func(state *jobs.State) {
+		if state.Setup() == nil {
+			err = merry.Prepend(mill.ErrUnavailable, "there is no setup yet", merry.NoCaptureStack())
+
+			return
+		}
+
+		_, id, ok := state.Setup().Find(request.Host, request.Path)
+		if !ok {
+			err = merry.Prepend(mill.ErrNoQueue, request.Path, merry.NoCaptureStack())
+
+			return
+		}
+
+		job, ok := state.Job(id)
+		if !ok {
+			err = merry.Prepend(mill.ErrNotFound, id, merry.NoCaptureStack())
+
+			return
+		}
+
+		read(job)
+	})
+
+	return err
+}
+
+func (c *Core) state(_ context.Context, request *JobRequest) (*StateReply, error) {
+	reply := &StateReply{}
+	err := c.find(request, func(job *jobs.Job) { reply.State = job.State() })
+
+	return reply, err
+}
+
+func (c *Core) cancel(ctx context.Context, request *JobRequest) (*StateReply, error) {
+	var id string
+
+	reply := &StateReply{}
+
+	err := c.find(request, func(job *jobs.Job) { id, reply.State = job.ID, job.State() })
+	if err != nil || reply.State.Over() {
+		return reply, err
+	}
+
+	if _, err := c.commit(ctx, jobs.Command{Cancel: &jobs.Cancel{Job: id}}); err != nil {
+		return nil, err
+	}
+
+	log.Info().Str("job", id).Msg("job canceled")
+
+	return &StateReply{State: mill.JobCanceled}, nil
+}
+
+func (c *Core) pending(_ context.Context, request *JobRequest) (*PendingReply, error) {
+	if err := c.scheduling(); err != nil {
+		return nil, err
+	}
+
+	var err error
+
+	reply := &PendingReply{}
+
+	c.machine.view(func(state *jobs.State) {
+		if state.Setup() == nil {
+			err = merry.Prepend(mill.ErrUnavailable, "there is no setup yet", merry.NoCaptureStack())
+
+			return
+		}
+
+		queue, rest, ok := state.Setup().Find(request.Host, request.Path)
+		if !ok || rest != "" {
+			err = merry.Prepend(mill.ErrNoQueue, request.Path, merry.NoCaptureStack())
+
+			return
+		}
+
+		reply.Pending = state.Pending(queue.Name)
+	})
+
+	return reply, err
+}
+
+func (c *Core) configure(ctx context.Context, setup *mill.Setup) (*ConfigureReply, error) {
+	if err := c.scheduling(); err != nil {
+		return nil, err
+	}
+
+	results, err := c.commit(ctx, jobs.Command{Setup: setup})
+	if err != nil {
+		return nil, err
+	}
+
+	log.Info().Uint64("version", setup.Version).Int("queues", len(setup.Queues)).
+		Bool("changed", results[0] == jobs.ResultApplied).Msg("setup committed")
+
+	return &ConfigureReply{}, nil
+}
+
+// setup returns the newest setup. An empty entry is committed first: it shows that
+// no other leader has committed a newer one, even after a freeze that no clock of
+// this process has noticed.
+func (c *Core) setup(ctx context.Context, _ *SetupRequest) (*SetupReply, error) {
+	if err := c.scheduling(); err != nil {
+		return nil, err
+	}
+
+	if _, err := c.commit(ctx); err != nil {
+		return nil, err
+	}
+
+	reply := &SetupReply{}
+	c.machine.view(func(state *jobs.State) { reply.Setup = state.Setup() })
+
+	return reply, nil
+}
+
+func (c *Core) follow(ctx context.Context, request *FollowRequest) (*FollowReply, error) {
+	if runner := c.runner.Load(); runner != nil && request.Advisor != "" {
+		runner.Caller(request.Advisor)
+	}
+
+	timer := time.NewTimer(min(time.Duration(request.WaitMilli)*time.Millisecond, followWait))
+	defer timer.Stop()
+
+	for {
+		changed := c.changes()
+		reply := c.followReply(request.Version)
+
+		if reply.Setup != nil || reply.Leader != c.config.Address {
+			return reply, nil
+		}
+
+		select {
+		case <-changed:
+		case <-timer.C:
+			return c.followReply(request.Version), nil
+		case <-ctx.Done():
+			return reply, nil
+		}
+	}
+}
+
+func (c *Core) followReply(version uint64) *FollowReply {
+	role := c.host.Role()
+	reply := &FollowReply{Leader: role.Leader.Address, Term: role.Term}
+
+	if role.Leading && c.runner.Load() == nil {
+		reply.Leader = ""
+	}
+
+	for _, server := range role.Members.Servers {
+		reply.Members = append(reply.Members, server.Address)
+	}
+
+	c.machine.view(func(state *jobs.State) {
+		if setup := state.Setup(); setup != nil && setup.Version > version {
+			reply.Setup = setup
+		}
+	})
+
+	return reply
+}
+
+func (c *Core) passedOn(_ context.Context, batch *drive.Batch[News]) (*drive.Receipt, error) {
+	now := time.Now()
+
+	for _, news := range batch.Messages {
+		c.noteNews(&news, now)
+	}
+
+	return &drive.Receipt{}, nil
+}
+
+// noteNews takes note of what a worker has said, and reports whether it was new.
+func (c *Core) noteNews(news *News, now time.Time) bool {
+	runner := c.runner.Load()
+
+	if news.Status == nil {
+		c.table.remove(news.Removed)
+
+		if runner != nil {
+			runner.Remove(news.Removed)
+		}
+
+		return true
+	}
+
+	if !c.table.add(news.Status, now) {
+		return false
+	}
+
+	if runner != nil {
+		runner.Report(news.Status, now)
+	}
+
+	return true
+}
+
+// tell passes news on to the other processes of the core.
+func (c *Core) tell(news News) {
+	for _, server := range c.host.Role().Members.Servers {
+		if server.Address != c.config.Address {
+			c.outbox.Send(server.Address, news)
+		}
+	}
+}
+
+// ReportWorker takes note of a worker's status and passes it on.
+func (c *Core) ReportWorker(_ context.Context, status *mill.WorkerStatus) error {
+	news := News{Status: status}
+	if c.noteNews(&news, time.Now()) {
+		c.tell(news)
+	}
+
+	return nil
+}
+
+// RemoveWorker takes note of a worker's planned end and passes it on.
+func (c *Core) RemoveWorker(_ context.Context, id string) error {
+	log.Info().Str("worker", id).Msg("worker ends")
+
+	news := News{Removed: id}
+	c.noteNews(&news, time.Now())
+	c.tell(news)
+
+	return nil
+}
+
+// Configure stores a setup by way of the leader.
+func (c *Core) Configure(ctx context.Context, setup *mill.Setup) error {
+	if err := setup.Validate(); err != nil {
+		return err
+	}
+
+	_, _, err := CallLeader[mill.Setup, ConfigureReply](ctx, c.link, MethodConfigure,
+		func(uint64) *mill.Setup { return setup })
+
+	return err
+}
+
+// CurrentSetup returns the newest setup by way of the leader.
+func (c *Core) CurrentSetup(ctx context.Context) (*mill.Setup, error) {
+	reply, _, err := CallLeader[SetupRequest, SetupReply](ctx, c.link, MethodSetup,
+		func(uint64) *SetupRequest { return &SetupRequest{} })
+	if err != nil {
+		return nil, err
+	}
+
+	if reply.Setup == nil {
+		return nil, merry.Prepend(mill.ErrUnavailable, "there is no setup yet", merry.NoCaptureStack())
+	}
+
+	return reply.Setup, nil
+}
--- a/internal/ctrl/server.go
+++ b/internal/ctrl/server.go
@@ -9,26 +9,20 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/cranberrymill/cranberrymill/internal/drive"
+	"github.com/cranberrymill/cranberrymill/internal/group"
 	"github.com/cranberrymill/cranberrymill/internal/raft"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
 // TickTime is the length of one tick of the control log.
-const TickTime = 50 * time.Millisecond
+const TickTime = group.TickTime
 
 const (
 	proposeTime = 2 * time.Second
 	maxWatch    = 10 * time.Second
 )
 
-// waiter is a proposal that waits for its entry to be committed.
-type waiter struct {
-	term  uint64
-	reply chan proposed
-}
-
 // proposed is how a proposal ended.
 type proposed struct {
 	verdict Verdict
@@ -38,13 +32,10 @@
 // Server is one voter of the control log with its calls.
 type Server struct {
 	self    raft.Server
-	node    *raft.Node
 	state   *State
-	driver  *drive.Driver[raft.Message]
+	host    *group.Host
 	client  *wire.Client
-	waiters map[uint64]waiter
 	view    atomic.Pointer[View]
-	leader  atomic.Pointer[raft.Server]
 	status  atomic.Pointer[StatusReply]
 	mu      sync.Mutex
 	changed chan struct{}
@@ -58,50 +49,44 @@
 		self:    self,
 		state:   NewState(),
 		client:  client,
-		waiters: make(map[uint64]waiter),
 		changed: make(chan struct{}),
 	}
 
-	node, err := raft.Open(self, peers, storage, (*applier)(s), seed)
+	host, err := group.Open(ctx, group.Config{
+		Self:    self,
+		Peers:   peers,
+		Storage: storage,
+		Client:  client,
+		Method:  MethodDeliver,
+		Seed:    seed,
+		Machine: s.state,
+		Settled: s.settle,
+	})
 	if err != nil {
 		return nil, err
 	}
 
-	outbox := drive.NewOutbox[raft.Message](ctx, client, MethodDeliver)
-	s.node = node
+	s.host = host
 	s.view.Store(s.state.View())
-	s.leader.Store(&raft.Server{})
 	s.status.Store(&StatusReply{VM: self.VM})
-	s.driver = drive.New[raft.Message](node, drive.Config[raft.Message]{
-		Storage: storage,
-		Send:    func(message raft.Message) { outbox.Send(message.Address, message) },
-		After:   s.settle,
-		Tick:    TickTime,
-	})
 
 	return s, nil
 }
 
 // Run takes part in the control log until the context ends or the storage fails.
 func (s *Server) Run(ctx context.Context) error {
-	return s.driver.Run(ctx)
+	return s.host.Run(ctx)
 }
 
 // HandOver passes the lead on before a planned stop, and waits until another
 // server has it or the context ends.
 func (s *Server) HandOver(ctx context.Context) {
-	if err := s.driver.Do(func() { s.node.HandOver() }); err != nil {
-		return
-	}
-
-	for s.leader.Load().Identity == s.self.Identity && ctx.Err() == nil {
-		pause(ctx, TickTime)
-	}
+	s.host.HandOver(ctx)
 }
 
 // Register adds the calls of the control log to a server.
 func (s *Server) Register(server *wire.Server) {
-	wire.Handle(server, MethodDeliver, s.deliver)
+	s.host.Register(server)
 	wire.Handle(server, MethodPropose, s.Propose)
 	wire.Handle(server, MethodWatch, s.Watch)
 	wire.Handle(server, MethodAudit, s.audit)
@@ -119,7 +104,7 @@
 		return verdict, err
 	}
 
-	leader := s.leader.Load()
+	leader := s.host.Role().Leader
 	if leader.Identity == "" || leader.Identity == s.self.Identity {
 		return nil, merry.Prepend(mill.ErrUnavailable, "the control log has no leader", merry.NoCaptureStack())
 	}
@@ -157,7 +142,7 @@
 func (s *Server) watchReply(known, sent *View) *WatchReply {
 	return &WatchReply{
 		Revision:   known.Revision,
-		Leaderless: s.leader.Load().Identity == "",
+		Leaderless: s.host.Role().Leader.Identity == "",
 		View:       sent,
 	}
 }
@@ -175,9 +160,7 @@
 
 	reply := make(chan proposed, 1)
 
-	if err := s.driver.Do(func() { s.start(data, reply) }); err != nil {
-		return nil, err
-	}
+	s.host.Propose(data, func(err error) { reply <- proposed{verdict: s.state.Verdict(), err: err} })
 
 	select {
 	case done := <-reply:
@@ -187,42 +170,15 @@
 	}
 }
 
-func (s *Server) start(data []byte, reply chan proposed) {
-	index, term, err := s.node.Propose(data)
-	if err != nil {
-		reply <- proposed{err: err}
-
-		return
-	}
-
-	s.waiters[index] = waiter{term: term, reply: reply}
-}
-
 // settle publishes what the node has come to; it runs on the driver's goroutine.
 func (s *Server) settle() {
-	leader, _ := s.node.Leader()
-	s.leader.Store(&leader)
-
-	if !s.node.Leading() {
-		s.dropWaiters()
-	}
-
-	s.publishStatus(leader)
+	s.publishStatus()
 
 	if s.state.view.Revision != s.view.Load().Revision {
 		s.publish()
 	}
 }
 
-// dropWaiters gives up on entries that another leader may replace.
-func (s *Server) dropWaiters() {
-	for index, w := range s.waiters {
-		w.reply <- proposed{err: merry.Prepend(mill.ErrUnavailable, "the leader changed", merry.NoCaptureStack())}
-
-		delete(s.waiters, index)
-	}
-}
-
 func (s *Server) publish() {
 	s.view.Store(s.state.View())
 
@@ -233,19 +189,18 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *Server) publishStatus(leader raft.Server) {
+func (s *Server) publishStatus() {
+	role := s.host.Role()
 	status := &StatusReply{
 		VM:       s.self.VM,
-		Leader:   leader.VM,
-		Term:     s.node.Term(),
-		Commit:   s.node.Commit(),
+		Leader:   role.Leader.VM,
+		Term:     role.Term,
+		Commit:   role.Commit,
 		Revision: s.state.view.Revision,
+		Voting:   role.Members.Has(s.self.Identity),
 	}
 
-	membership := s.node.Membership()
-	status.Voting = membership.Has(s.self.Identity)
-
-	for _, server := range membership.Servers {
+	for _, server := range role.Members.Servers {
 		status.Voters = append(status.Voters, server.VM)
 	}
 
@@ -259,18 +214,10 @@
 	return s.changed
 }
 
-func (s *Server) deliver(_ context.Context, batch *drive.Batch[raft.Message]) (*drive.Receipt, error) {
-	for _, message := range batch.Messages {
-		s.driver.Deliver(message)
-	}
-
-	return &drive.Receipt{}, nil
-}
-
 func (s *Server) audit(ctx context.Context, request *AuditRequest) (*AuditReply, error) {
 	reply := make(chan []AuditRecord, 1)
 
-	if err := s.driver.Do(func() { reply <- s.state.Audit(request.After, request.Limit) }); err != nil {
+	if err := s.host.Do(func() { reply <- s.state.Audit(request.After, request.Limit) }); err != nil {
 		return nil, err
 	}
 
@@ -285,29 +232,3 @@
 func (s *Server) answerStatus(context.Context, *StatusRequest) (*StatusReply, error) {
 	return s.status.Load(), nil
 }
-
-// applier is the Server as the state machine of its node.
-type applier Server
-
-// Apply executes a committed command and answers the caller that waits for it.
-func (a *applier) Apply(index uint64, data []byte) {
-	a.state.Apply(index, data)
-
-	w, ok := a.waiters[index]
-	if !ok {
-		return
-	}
-
-	delete(a.waiters, index)
-	w.reply <- proposed{verdict: a.state.Verdict()}
-}
-
-// Save returns the stored form of the state.
-func (a *applier) Save() ([]byte, error) {
-	return a.state.Save()
-}
-
-// Load replaces the state by a stored form.
-func (a *applier) Load(data []byte) error {
-	return a.state.Load(data)
-}
--- a/internal/disk/file.go
+++ b/internal/disk/file.go
@@ -40,15 +40,20 @@
 
 var _ mill.Storage = (*File)(nil)
 
-// Open opens the storage in folder and makes it when the folder is empty.
+// Open opens the storage in folder and makes it, with a new identity, when the folder is empty.
 func Open(folder string) (*File, error) {
+	return OpenAs(folder, "")
+}
+
+// OpenAs does what Open does, but gives an empty folder the identity, unless that is "".
+func OpenAs(folder, identity string) (*File, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, merry.Prependf(err, "data folder %s", folder)
 	}
 
 	f := &File{folder: folder}
 
-	if err := f.loadIdentity(); err != nil {
+	if err := f.loadIdentity(identity); err != nil {
 		return nil, err
 	}
 
@@ -119,7 +124,7 @@
 	return f.records.Close()
 }
 
-func (f *File) loadIdentity() error {
+func (f *File) loadIdentity(first string) error {
 	path := filepath.Join(f.folder, identityFile)
 
 	data, err := os.ReadFile(path)
@@ -137,7 +142,10 @@
 		return err
 	}
 
-	f.identity = newIdentity()
+	f.identity = first
+	if f.identity == "" {
+		f.identity = newIdentity()
+	}
 
 	return f.writeWhole(identityFile, []byte(f.identity+"\n"))
 }
--- /dev/null
+++ b/internal/lead/actions.go
@@ -0,0 +1,53 @@
+package lead
+
+import (
+	"time"
+
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// Actions is what the scheduler wants done.
+type Actions struct {
+	// Commands are to be committed together, in order; nil for none.
+	Commands []jobs.Command
+	Starts   []Start
+	Stops    []Stop
+	Renews   []Renew
+	Asks     []Ask
+	Paces    []Pace
+}
+
+// Start is an order to start a run.
+type Start struct {
+	To    mill.WorkerRef
+	Order mill.StartOrder
+}
+
+// Stop is an order to stop a run.
+type Stop struct {
+	To    mill.WorkerRef
+	Run   mill.RunRef
+	Fence uint64
+}
+
+// Renew is an order to extend a worker's leases and to report.
+type Renew struct {
+	To    mill.WorkerRef
+	Order mill.RenewOrder
+}
+
+// Pace is an order to limit a task.
+type Pace struct {
+	To    mill.WorkerRef
+	Order mill.PaceOrder
+}
+
+// Ask is a question to the advisor, sent from one caller's address.
+type Ask struct {
+	Caller  string
+	Step    mill.StepID
+	Workers []string
+	// Limit is how long the answer may take.
+	Limit time.Duration
+}
--- /dev/null
+++ b/internal/lead/place.go
@@ -0,0 +1,308 @@
+package lead
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/plan"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// candidates returns the steps that have tasks which could start, best first.
+func (s *Scheduler) candidates(wall int64, state *jobs.State) []*candidate {
+	var found []*candidate
+
+	for _, job := range state.Open() {
+		if job.Over() {
+			continue
+		}
+
+		found = s.candidatesOf(found, job, wall, state.Setup())
+	}
+
+	for id := range s.advice {
+		if job, ok := state.Job(id.Job); !ok || job.Over() {
+			delete(s.advice, id)
+		}
+	}
+
+	plan.Sort(found, func(c *candidate) *plan.Claim { return &c.claim })
+
+	return found
+}
+
+func (s *Scheduler) candidatesOf(found []*candidate, job *jobs.Job, wall int64, setup *mill.Setup) []*candidate {
+	queue := &job.Queue
+
+	if setup != nil {
+		if current, ok := setup.Queue(queue.Name); ok {
+			queue = current
+		}
+	}
+
+	s.beginDue(job, wall)
+
+	for number, occurrence := range job.Occurrences {
+		for index := range occurrence.Steps {
+			step := &occurrence.Steps[index]
+			if step.Done+step.Placed == len(step.Tasks) || !occurrence.Ready(&job.Work, index) {
+				continue
+			}
+
+			c := &candidate{
+				id:    mill.StepID{Job: job.ID, Occurrence: number, Step: index},
+				job:   job,
+				queue: queue,
+				step:  &job.Work.Steps[index],
+				state: step,
+			}
+
+			if c.waiting = s.waiting(c); len(c.waiting) > 0 {
+				c.claim = s.claim(c, occurrence, wall)
+				c.advice = s.adviceFor(c)
+				found = append(found, c)
+			}
+		}
+	}
+
+	return found
+}
+
+// beginDue is where occurrences that are due would begin; see occurrences.go.
+func (s *Scheduler) beginDue(*jobs.Job, int64) {}
+
+// waiting returns the tasks of a step that have no run. A gang waits as a whole.
+func (s *Scheduler) waiting(c *candidate) []int {
+	var waiting []int
+
+	for index := range c.state.Tasks {
+		if c.state.Tasks[index].Phase != jobs.TaskWaiting {
+			continue
+		}
+
+		if _, claimed := s.runs[c.id.Task(index)]; !claimed {
+			waiting = append(waiting, index)
+		}
+	}
+
+	if c.step.Gang && len(waiting) < len(c.state.Tasks) {
+		return nil
+	}
+
+	return waiting
+}
+
+func (s *Scheduler) claim(c *candidate, occurrence *jobs.Occurrence, wall int64) plan.Claim {
+	takes := func(step int) time.Duration {
+		return s.estimates.Correct(c.queue.Name, c.job.Work.Steps[step].Estimate)
+	}
+	whole := plan.Chain(&c.job.Work, nil, takes)
+	left := plan.Chain(&c.job.Work, func(step int) bool { return occurrence.Steps[step].Complete() }, takes)
+
+	received := c.job.UnixMilli
+	if c.job.Work.Repeat.Times > 0 {
+		received = c.job.Work.Repeat.FirstUnixMilli + int64(c.id.Occurrence)*c.job.Work.Repeat.Interval.Milliseconds()
+	}
+
+	objective := time.Duration(c.queue.Stretch*float64(whole)) + c.queue.Objective
+	if c.queue.Advice != nil {
+		objective += time.Duration(len(c.job.Work.Steps)) * c.queue.Advice.Cost(maxAsked)
+	}
+
+	return plan.Claim{
+		Priority:  c.queue.Priority,
+		Age:       max(0, time.Duration(wall-received)*time.Millisecond),
+		Objective: objective,
+		Remaining: left,
+		Lasting:   c.step.Lasting,
+		Sequence:  c.job.Sequence,
+	}
+}
+
+func (s *Scheduler) adviceFor(c *candidate) *advice {
+	if c.queue.Advice == nil {
+		return nil
+	}
+
+	a, ok := s.advice[c.id]
+	if !ok {
+		a = newAdvice()
+		s.advice[c.id] = a
+	}
+
+	return a
+}
+
+// place returns the placements that are to be committed, and claims their room.
+func (s *Scheduler) place(candidates []*candidate, now time.Time) []jobs.Command {
+	commands := make([]jobs.Command, 0, len(candidates))
+	pools := s.pools(now)
+
+	for _, c := range candidates {
+		commands = append(commands, s.placeStep(c, pools[c.queue.Service], now)...)
+	}
+
+	return commands
+}
+
+// pools returns the workers that may be given work, by service, in a fixed order.
+func (s *Scheduler) pools(now time.Time) map[string][]*worker {
+	pools := make(map[string][]*worker)
+
+	for _, w := range s.workers {
+		if w.usable(now) {
+			pools[w.status.Service] = append(pools[w.status.Service], w)
+		}
+	}
+
+	for _, pool := range pools {
+		slices.SortFunc(pool, func(a, b *worker) int {
+			if a.status.ID < b.status.ID {
+				return -1
+			}
+
+			return 1
+		})
+	}
+
+	return pools
+}
+
+func (s *Scheduler) placeStep(c *candidate, pool []*worker, now time.Time) []jobs.Command {
+	sites, workers := s.sites(c, pool, now)
+	demand := &plan.Demand{
+		Each:         c.step.Reserves(),
+		MaxPerWorker: c.step.MaxPerWorker,
+		NearRack:     c.step.DataRack,
+		OneRack:      c.step.SameRack,
+	}
+
+	chosen := plan.Spread(sites, demand, len(c.waiting), s.placer, func(index int, id string) bool {
+		return slices.Contains(c.state.Tasks[c.waiting[index]].FailedOn, id)
+	})
+	if c.step.Gang && len(chosen) < len(c.waiting) {
+		return nil
+	}
+
+	placed := c.waiting[:len(chosen)]
+	c.waiting = c.waiting[len(chosen):]
+	number := s.nextRun(c)
+	commands := make([]jobs.Command, 0, len(chosen))
+
+	for index, at := range chosen {
+		r := s.newRun(c, placed[index], workers[at], number)
+		commands = append(commands, jobs.Command{Place: &jobs.Place{
+			Task:   r.task,
+			Run:    r.number,
+			Worker: r.worker.status.ID,
+		}})
+	}
+
+	return commands
+}
+
+// sites returns the workers on which the step may run now.
+func (s *Scheduler) sites(c *candidate, pool []*worker, now time.Time) ([]plan.Site, []*worker) {
+	var (
+		sites   []plan.Site
+		workers []*worker
+	)
+
+	for _, w := range pool {
+		if !w.status.HasLabel(c.step.Label) || !c.step.Reserves().Fits(w.free()) {
+			continue
+		}
+
+		if _, valid := c.allows(w.status.ID, now); !valid {
+			continue
+		}
+
+		sites = append(sites, plan.Site{
+			View: mill.WorkerView{
+				ID:       w.status.ID,
+				Rack:     w.status.Rack,
+				Capacity: w.status.Capacity,
+				Free:     w.free(),
+			},
+			Mine:  w.tasksOf(c.id),
+			Trial: w.record.OnTrial(),
+			Busy:  len(w.runs) > 0,
+		})
+		workers = append(workers, w)
+	}
+
+	return sites, workers
+}
+
+func (w *worker) tasksOf(step mill.StepID) int {
+	count := 0
+
+	for task := range w.runs {
+		if task.StepID == step {
+			count++
+		}
+	}
+
+	return count
+}
+
+// nextRun returns the number of a gang's next run, or 0 where each task counts by itself.
+func (s *Scheduler) nextRun(c *candidate) int {
+	if !c.step.Gang {
+		return 0
+	}
+
+	number := 0
+	for i := range c.state.Tasks {
+		number = max(number, c.state.Tasks[i].Run)
+	}
+
+	return number + 1
+}
+
+func (s *Scheduler) newRun(c *candidate, index int, w *worker, number int) *run {
+	task := &c.state.Tasks[index]
+	if number == 0 {
+		number = task.Run + 1
+	}
+
+	r := &run{
+		task:       c.id.Task(index),
+		number:     number,
+		worker:     w,
+		queue:      c.queue.Name,
+		step:       c.step,
+		reserves:   c.step.Reserves(),
+		phase:      runProposed,
+		spec:       c.job.Work.Spec,
+		checkpoint: task.Checkpoint,
+		resume:     task.Checkpoint,
+	}
+
+	if c.step.Gang {
+		r.resume = gangCheckpoint(c.state)
+		r.checkpoint = r.resume
+	}
+
+	if c.advice != nil {
+		r.ticket = c.advice.tickets[w.status.ID].text
+	}
+
+	s.runs[r.task] = r
+	w.add(r)
+
+	return r
+}
+
+// gangCheckpoint returns the one checkpoint that all members resume from: that of the
+// first member that has one, since any member's is valid for the gang.
+func gangCheckpoint(step *jobs.Step) string {
+	for i := range step.Tasks {
+		if step.Tasks[i].Checkpoint != "" {
+			return step.Tasks[i].Checkpoint
+		}
+	}
+
+	return ""
+}
--- /dev/null
+++ b/internal/lead/runner.go
@@ -0,0 +1,204 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/phuslu/log"
+
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/ring"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+const (
+	// runnerEvents bounds the answers that wait to be read: every order in flight has one.
+	runnerEvents = 1 << 14
+	// planPause is the least time between two plans, so that answers share one.
+	planPause = 3 * time.Millisecond
+	// planIdle is the longest time between two plans: lapses and retries are due then.
+	planIdle = 50 * time.Millisecond
+	// answerSlack is what an answer may take beyond the wait that was asked for.
+	answerSlack = 600 * time.Millisecond
+)
+
+// Outside is what a runner needs of the process that it runs in.
+type Outside struct {
+	Orders mill.WorkerOrders
+	// Advise asks the advisor from a caller's address.
+	Advise func(ctx context.Context, ask *Ask) (*mill.Advice, error)
+	// Propose has commands committed and then calls done.
+	Propose func(commands []jobs.Command, done func(results []jobs.Result, err error))
+	// View calls a function with the state, which must not change meanwhile.
+	View func(read func(state *jobs.State))
+	// Pool runs what waits for answers.
+	Pool *ants.Pool
+}
+
+// Runner carries out a scheduler's actions on one goroutine.
+type Runner struct {
+	scheduler *Scheduler
+	outside   Outside
+	events    *ring.Ring[func(now time.Time)]
+	context   context.Context
+}
+
+// NewRunner returns a runner for a term; its context ends the term.
+func NewRunner(ctx context.Context, scheduler *Scheduler, outside Outside) *Runner {
+	return &Runner{
+		scheduler: scheduler,
+		outside:   outside,
+		events:    ring.New[func(now time.Time)](runnerEvents),
+		context:   ctx,
+	}
+}
+
+// Report takes note of a worker's status.
+func (r *Runner) Report(status *mill.WorkerStatus, at time.Time) {
+	r.post(func(time.Time) { r.scheduler.Report(status, at) })
+}
+
+// Remove takes note of a worker's planned end.
+func (r *Runner) Remove(id string) {
+	r.post(func(now time.Time) { r.scheduler.Remove(id, now) })
+}
+
+// Caller takes note that the advisor can be asked from an address.
+func (r *Runner) Caller(address string) {
+	r.post(func(now time.Time) { r.scheduler.Caller(address, now) })
+}
+
+// Wake has the runner look at the state again.
+func (r *Runner) Wake() {
+	r.post(func(time.Time) {})
+}
+
+// Run schedules until the term ends.
+func (r *Runner) Run() {
+	for r.context.Err() == nil {
+		r.wait()
+
+		now := time.Now()
+
+		var actions Actions
+
+		r.outside.View(func(state *jobs.State) {
+			actions = r.scheduler.Next(now, now.UnixMilli(), state)
+		})
+		r.perform(&actions)
+		r.logEvents()
+		r.pause()
+	}
+}
+
+// wait takes the events that have come, or none when it gets late.
+func (r *Runner) wait() {
+	ctx, cancel := context.WithTimeout(r.context, planIdle)
+	defer cancel()
+
+	batch, err := r.events.TakeBatch(ctx, runnerEvents)
+	if err != nil {
+		return
+	}
+
+	now := time.Now()
+	for _, event := range batch {
+		event(now)
+	}
+}
+
+func (r *Runner) pause() {
+	select {
+	case <-time.After(planPause):
+	case <-r.context.Done():
+	}
+}
+
+func (r *Runner) perform(actions *Actions) {
+	if commands := actions.Commands; len(commands) > 0 {
+		r.outside.Propose(commands, func(results []jobs.Result, err error) {
+			r.post(func(now time.Time) { r.scheduler.Committed(commands, results, err, now) })
+		})
+	}
+
+	for i := range actions.Starts {
+		r.submit(func() { r.start(&actions.Starts[i]) })
+	}
+
+	for i := range actions.Stops {
+		r.submit(func() { r.stop(&actions.Stops[i]) })
+	}
+
+	for i := range actions.Renews {
+		r.submit(func() { r.renew(&actions.Renews[i]) })
+	}
+
+	for i := range actions.Asks {
+		r.submit(func() { r.ask(&actions.Asks[i]) })
+	}
+}
+
+func (r *Runner) start(start *Start) {
+	ctx, cancel := context.WithTimeout(r.context, orderTime)
+	defer cancel()
+
+	reply := r.outside.Orders.Start(ctx, start.To, &start.Order)
+	r.post(func(now time.Time) { r.scheduler.StartAnswered(start, reply, now) })
+}
+
+func (r *Runner) stop(stop *Stop) {
+	ctx, cancel := context.WithTimeout(r.context, orderTime)
+	defer cancel()
+
+	reply := r.outside.Orders.Stop(ctx, stop.To, stop.Run, stop.Fence)
+	r.post(func(now time.Time) { r.scheduler.StopAnswered(stop, reply, now) })
+}
+
+func (r *Runner) renew(renew *Renew) {
+	asked := time.Now()
+
+	ctx, cancel := context.WithTimeout(r.context, renew.Order.Wait+answerSlack)
+	defer cancel()
+
+	reply := r.outside.Orders.Renew(ctx, renew.To, &renew.Order)
+	r.post(func(now time.Time) { r.scheduler.RenewAnswered(renew, &reply, asked, now) })
+}
+
+func (r *Runner) ask(ask *Ask) {
+	ctx, cancel := context.WithTimeout(r.context, ask.Limit)
+	defer cancel()
+
+	answer, err := r.outside.Advise(ctx, ask)
+	if err != nil {
+		log.Warn().Err(err).Str("step", ask.Step.String()).Str("caller", ask.Caller).Msg("advisor did not answer")
+
+		answer = nil
+	}
+
+	r.post(func(now time.Time) { r.scheduler.Advised(ask, answer, now) })
+}
+
+// submit runs a call on the pool; a full pool is waited for on a goroutine of its own,
+// since the answers that free it are read by this one.
+func (r *Runner) submit(call func()) {
+	if err := r.outside.Pool.Submit(call); err != nil {
+		log.Warn().Err(err).Msg("the pool for orders is full")
+
+		go call()
+	}
+}
+
+func (r *Runner) post(event func(now time.Time)) {
+	// A runner that does not keep up must not lose an answer, so this waits.
+	if err := r.events.Put(r.context, event); err != nil {
+		return
+	}
+}
+
+func (r *Runner) logEvents() {
+	for _, e := range r.scheduler.TakeEvents() {
+		log.Info().Str("task", e.Task.String()).Int("run", e.Run).Str("worker", e.Worker).
+			Str("detail", e.Detail).Msg(string(e.Kind))
+	}
+}
--- /dev/null
+++ b/internal/lead/step.go
@@ -0,0 +1,61 @@
+package lead
+
+import (
+	"time"
+
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/plan"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// ticket allows a worker to run a step until a time.
+type ticket struct {
+	text  string
+	until time.Time
+}
+
+// advice is what the advisor has said about one step.
+type advice struct {
+	asked   map[string]bool
+	tickets map[string]ticket
+	asking  bool
+	// next is when another question may be asked after one that failed.
+	next time.Time
+}
+
+func newAdvice() *advice {
+	return &advice{asked: make(map[string]bool), tickets: make(map[string]ticket)}
+}
+
+// candidate is a step with tasks that could start.
+type candidate struct {
+	id      mill.StepID
+	job     *jobs.Job
+	queue   *mill.Queue
+	step    *mill.Step
+	state   *jobs.Step
+	waiting []int
+	claim   plan.Claim
+	advice  *advice
+}
+
+// suits reports whether the worker could run a task of the step if it were empty.
+func (c *candidate) suits(w *worker) bool {
+	return w.status.Service == c.queue.Service && w.status.HasLabel(c.step.Label) &&
+		c.step.Reserves().Fits(w.status.Capacity)
+}
+
+// allows reports whether the advisor lets a worker run the step, and whether the
+// ticket holds until an order that is decided now arrives.
+func (c *candidate) allows(worker string, now time.Time) (allowed, valid bool) {
+	if c.queue.Advice == nil {
+		return true, true
+	}
+
+	found, ok := c.advice.tickets[worker]
+	if !ok {
+		return false, false
+	}
+
+	return true, found.until.After(now.Add(commitTime))
+}
--- a/internal/ledger/node.go
+++ b/internal/ledger/node.go
@@ -106,7 +106,7 @@
 
 // Register adds the calls of the ledger to a server.
 func (n *Node) Register(server *wire.Server) {
-	wire.Handle(server, MethodDeliver, n.deliver)
+	wire.HandleStream(server, MethodDeliver, n.deliver)
 	wire.Handle(server, MethodPropose, n.Propose)
 	wire.Handle(server, MethodChanges, n.Changes)
 	wire.Handle(server, MethodFind, n.find)
--- a/internal/raft/record.go
+++ b/internal/raft/record.go
@@ -69,9 +69,10 @@
 	return nil
 }
 
-// Bootstrap writes the first membership, the server alone, into an empty
-// storage and reports whether the storage was empty.
-func Bootstrap(storage mill.Storage, self Server) (bool, error) {
+// Bootstrap writes the first membership into an empty storage and reports
+// whether the storage was empty. Several servers can begin a log together, if
+// each of them writes the same membership.
+func Bootstrap(storage mill.Storage, servers ...Server) (bool, error) {
 	data, records, err := storage.Load()
 	if err != nil {
 		return false, err
@@ -81,7 +82,7 @@
 		return false, nil
 	}
 
-	first := Entry{Index: 1, Term: 1, Membership: &Membership{Servers: []Server{self}}}
+	first := Entry{Index: 1, Term: 1, Membership: &Membership{Servers: servers}}
 
 	encoded, err := wire.Encode(&record{Entry: &first})
 	if err != nil {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
@@ -19,6 +22,9 @@
 	idleConnectionsPerPeer = 64
 	idleTime               = 30 * time.Second
 	dialTime               = time.Second
+	// silentTime is how long sent bytes may stay unacknowledged by the peer's
+	// kernel: a peer that is cut off or without power does not reset connections.
+	silentTime = 1500 * time.Millisecond
 )
 
 // Client calls other processes over pooled connections.
@@ -29,7 +35,7 @@
 
 // NewClient returns a client that dials TCP.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTime}
+	dialer := Dialer()
 
 	return &Client{
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
@@ -43,6 +49,31 @@
 	}
 }
 
+// Dialer returns a dialer whose connections end when the peer falls silent.
+func Dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTime,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     silentTime,
+			Interval: silentTime / 2,
+			Count:    2,
+		},
+		Control: setUserTimeout,
+	}
+}
+
+// setUserTimeout bounds the time that sent bytes may stay unacknowledged.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+
+	err := raw.Control(func(descriptor uintptr) {
+		failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTime.Milliseconds()))
+	})
+
+	return errors.Join(err, failed)
+}
+
 // Call sends a request to the process at address and returns its response; an
 // error that wraps none of the peer's sentinels wraps mill.ErrUnreachable when
 // nothing was sent and mill.ErrUnavailable otherwise.
--- a/internal/wire/codes.go
+++ b/internal/wire/codes.go
@@ -22,6 +22,7 @@
 	mill.ErrInvalid,
 	mill.ErrNotFound,
 	mill.ErrNoUpstream,
+	mill.ErrNoQueue,
 }
 
 // withCode marks an error with the code of the sentinel it wraps.
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -26,24 +26,15 @@
 func Handle[Request, Response any](
 	s *Server, method string, answer func(ctx context.Context, request *Request) (*Response, error),
 ) {
+	s.register(method, func(stream drpc.Stream) error { return answerOne(stream, answer) })
+}
+
+func (s *Server) register(method string, answer func(stream drpc.Stream) error) {
 	if s.methods == nil {
 		s.methods = make(map[string]func(stream drpc.Stream) error)
 	}
 
-	s.methods[method] = func(stream drpc.Stream) error {
-		var request Request
-
-		if err := stream.MsgRecv(&request, codec{}); err != nil {
-			return err
-		}
-
-		response, err := answer(stream.Context(), &request)
-		if err != nil {
-			return withCode(err)
-		}
-
-		return stream.MsgSend(response, codec{})
-	}
+	s.methods[method] = answer
 }
 
 // HandleRPC answers one call.
--- a/pkg/mill/errors.go
+++ b/pkg/mill/errors.go
@@ -20,6 +20,8 @@
 	ErrInvalid = merry.Sentinel("invalid")
 	// ErrNotFound is returned for a name or id that is not known.
 	ErrNotFound = merry.Sentinel("not found")
+	// ErrNoQueue is returned when no queue takes a request.
+	ErrNoQueue = merry.Sentinel("no such queue")
 	// ErrCorrupt is returned when stored records fail their checksum before the tail.
 	ErrCorrupt = merry.Sentinel("corrupt log")
 	// ErrLocked is returned when another process holds the data folder.
--- /dev/null
+++ b/pkg/mill/task_id.go
@@ -0,0 +1,60 @@
+package mill
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// StepID names one step of one occurrence of a job.
+type StepID struct {
+	Job        string `cbor:"1,keyasint"`
+	Occurrence int    `cbor:"2,keyasint,omitempty"`
+	Step       int    `cbor:"3,keyasint,omitempty"`
+}
+
+// String returns "job.occurrence.step".
+func (s StepID) String() string {
+	return s.Job + "." + strconv.Itoa(s.Occurrence) + "." + strconv.Itoa(s.Step)
+}
+
+// Task returns the id of one of the step's tasks.
+func (s StepID) Task(index int) TaskID {
+	return TaskID{StepID: s, Index: index}
+}
+
+// TaskID names one task of a job.
+type TaskID struct {
+	StepID
+
+	Index int `cbor:"4,keyasint,omitempty"`
+}
+
+const taskIDParts = 4
+
+// ParseTaskID reads what String returns, or returns ErrInvalid.
+func ParseTaskID(text string) (TaskID, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != taskIDParts {
+		return TaskID{}, merry.Prependf(ErrInvalid, "task %q: want job.occurrence.step.index", text)
+	}
+
+	numbers := make([]int, 0, taskIDParts-1)
+
+	for _, part := range parts[1:] {
+		number, err := strconv.Atoi(part)
+		if err != nil || number < 0 {
+			return TaskID{}, merry.Prependf(ErrInvalid, "task %q: want job.occurrence.step.index", text)
+		}
+
+		numbers = append(numbers, number)
+	}
+
+	return TaskID{StepID: StepID{Job: parts[0], Occurrence: numbers[0], Step: numbers[1]}, Index: numbers[2]}, nil
+}
+
+// String returns "job.occurrence.step.index".
+func (t TaskID) String() string {
+	return t.StepID.String() + "." + strconv.Itoa(t.Index)
+}
--- /dev/null
+++ b/pkg/mill/worker_status.go
@@ -0,0 +1,50 @@
+package mill
+
+import "time"
+
+// WorkerStatus is what a worker says of itself.
+type WorkerStatus struct {
+	// ID names one life of a worker, but for one that starts again under its id.
+	ID string
+	// BornUnixMilli tells lives under one id apart: when this one began, by the worker's clock.
+	BornUnixMilli int64
+	Service       string
+	Address       string
+	DataCentre    string
+	// Kind and Rack are the worker's labels; a step may demand any of Labels.
+	Rack   string
+	Labels []string
+	// Capacity is all that the worker has to give.
+	Capacity Resources
+	// Draining workers take no new work; Remaining is the least time they have left.
+	Draining  bool
+	Remaining time.Duration
+	// ClockMilli is the worker's steady clock when it sent this.
+	ClockMilli int64
+	// Sequence rises with each status of one life.
+	Sequence uint64
+}
+
+// NewerThan reports whether s was sent after other, by the same worker.
+func (s *WorkerStatus) NewerThan(other *WorkerStatus) bool {
+	if s.BornUnixMilli != other.BornUnixMilli {
+		return s.BornUnixMilli > other.BornUnixMilli
+	}
+
+	return s.Sequence > other.Sequence
+}
+
+// HasLabel reports whether the worker has the label; every worker has "".
+func (s *WorkerStatus) HasLabel(label string) bool {
+	if label == "" {
+		return true
+	}
+
+	for _, one := range s.Labels {
+		if one == label {
+			return true
+		}
+	}
+
+	return false
+}
