--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -170,21 +170,13 @@
 }
 
 func (c *Core) open(ctx context.Context) error {
-	peers := make([]raft.Server, 0, len(c.config.Seeds))
-
-	for _, seed := range c.config.Seeds {
-		if seed != c.config.Address {
-			peers = append(peers, raft.Server{VM: hostOf(seed), Address: seed})
-		}
-	}
-
 	host, err := group.Open(ctx, group.Config{
 		Self: raft.Server{
 			VM:       hostOf(c.config.Address),
 			Identity: c.storage.Identity(),
 			Address:  c.config.Address,
 		},
-		Peers:   peers,
+		Peers:   c.peers(c.config.Seeds),
 		Storage: c.storage,
 		Client:  c.client,
 		Method:  MethodDeliver,
@@ -202,6 +194,26 @@
 	return nil
 }
 
+// peers returns the seeds other than this process.
+func (c *Core) peers(seeds []string) []raft.Server {
+	peers := make([]raft.Server, 0, len(seeds))
+
+	for _, seed := range seeds {
+		if seed != c.config.Address {
+			peers = append(peers, raft.Server{VM: hostOf(seed), Address: seed})
+		}
+	}
+
+	return peers
+}
+
+// SetSeeds replaces the addresses of processes of the core; Run must have begun.
+func (c *Core) SetSeeds(seeds []string) error {
+	c.link.SetSeeds(seeds)
+
+	return c.host.SetPeers(c.peers(seeds))
+}
+
 // handOverTime bounds the search for a successor at a planned stop.
 const handOverTime = 1500 * time.Millisecond
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -56,6 +56,11 @@
 	return duties.Wait()
 }
 
+// SetSeeds replaces the addresses of processes of the core.
+func (f *Front) SetSeeds(seeds []string) {
+	f.link.SetSeeds(seeds)
+}
+
 // Ready reports whether callers are served here.
 func (f *Front) Ready() bool {
 	return f.link.Setup() != nil && time.Since(f.link.Heard()) < freshTime
--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -107,6 +107,11 @@
 	}
 }
 
+// SetPeers replaces the addresses at which a server that is no voter asks for admission.
+func (h *Host) SetPeers(peers []raft.Server) error {
+	return h.driver.Do(func() { h.node.SetPeers(peers) })
+}
+
 // HandOver passes the lead on before a planned stop, and waits until another
 // server has it or the context ends.
 func (h *Host) HandOver(ctx context.Context) {
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -178,9 +178,7 @@
 		OneRack:      c.step.SameRack,
 	}
 
-	chosen := plan.Spread(sites, demand, len(c.waiting), s.placer, func(index int, id string) bool {
-		return slices.Contains(c.state.Tasks[c.waiting[index]].FailedOn, id)
-	})
+	chosen := plan.Spread(sites, demand, len(c.waiting), s.placer, s.avoid(c, pool))
 	if c.step.Gang && len(chosen) < len(c.waiting) {
 		return nil
 	}
@@ -202,6 +200,27 @@
 	return commands
 }
 
+// avoid keeps a task away from workers on which it has failed, unless it has
+// failed on every worker that may run it.
+func (s *Scheduler) avoid(c *candidate, pool []*worker) func(index int, worker string) bool {
+	allowed := make([]string, 0, len(pool))
+
+	for _, w := range pool {
+		if ok, _ := c.allows(w.status.ID, s.began); ok && c.suits(w) {
+			allowed = append(allowed, w.status.ID)
+		}
+	}
+
+	return func(index int, worker string) bool {
+		failedOn := c.state.Tasks[c.waiting[index]].FailedOn
+		if !slices.Contains(failedOn, worker) {
+			return false
+		}
+
+		return slices.ContainsFunc(allowed, func(id string) bool { return !slices.Contains(failedOn, id) })
+	}
+}
+
 // sites returns the workers on which the step may run now.
 func (s *Scheduler) sites(c *candidate, pool []*worker, now time.Time) ([]plan.Site, []*worker) {
 	var (
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -93,6 +93,11 @@
 	return n, nil
 }
 
+// SetPeers replaces the addresses at which a server that is no voter asks for admission.
+func (n *Node) SetPeers(peers []Server) {
+	n.peers = peers
+}
+
 // Tick passes one tick of time.
 func (n *Node) Tick() {
 	n.ticks++
