--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -271,11 +271,18 @@
 func (s *State) failed(job *Job, end *End, task *Task) {
 	task.Failures++
 
+	// Tasks that last fail at any time, so only the last worker is worth avoiding.
+	if job.Work.Steps[end.Task.Step].Lasting {
+		task.FailedOn = []string{task.Worker}
+
+		return
+	}
+
 	if !slices.Contains(task.FailedOn, task.Worker) {
 		task.FailedOn = append(task.FailedOn, task.Worker)
 	}
 
-	if job.Over() || job.Work.Steps[end.Task.Step].Lasting || job.Queue.MaxAttempts <= 0 {
+	if job.Over() || job.Queue.MaxAttempts <= 0 {
 		return
 	}
 
--- a/internal/lead/answers.go
+++ b/internal/lead/answers.go
@@ -81,7 +81,7 @@
 			a.tickets[r.worker.status.ID] = ticket{}
 		}
 	case mill.OutcomeUnhealthy:
-		r.worker.record.Failed(now)
+		r.worker.record.Failed(r.task.Job, 1, now)
 	default:
 		r.worker.record.HoldBack(now)
 	}
@@ -118,6 +118,11 @@
 	default:
 		r.worker.clock.observe(reply.ClockMilli, now)
 		r.barred = true
+
+		if r.phase == runStarting {
+			r.phase = runDoubtful
+		}
+
 		r.answered = now
 		r.worker.nextRenew = now
 	}
@@ -160,6 +165,7 @@
 	w.inherits = false
 	w.failures = 0
 	w.heard = now
+	w.answered = now
 	w.nextRenew = now.Add(renewPause)
 	w.acked = max(w.acked, renew.Order.Seen)
 
--- a/internal/lead/ask.go
+++ b/internal/lead/ask.go
@@ -79,10 +79,8 @@
 		return names(unknown)
 	case len(expired) > 0:
 		return names(append(expired, valid...))
-	case len(valid) == 0:
-		return names(unknown)
 	default:
-		return nil
+		return names(unknown)
 	}
 }
 
--- a/internal/lead/give.go
+++ b/internal/lead/give.go
@@ -80,7 +80,7 @@
 			Run:        r.number,
 			Spec:       r.spec,
 			UntilMilli: r.worker.extend(now, s.bounds.Lease()),
-			Fence:      s.fence,
+			Fence:      s.fenceOf(r.worker),
 			Checkpoint: r.resume,
 			Ticket:     r.ticket,
 		},
@@ -94,7 +94,7 @@
 
 	r.stopSent = now
 
-	actions.Stops = append(actions.Stops, Stop{To: r.worker.ref(), Run: r.ref(), Fence: s.fence})
+	actions.Stops = append(actions.Stops, Stop{To: r.worker.ref(), Run: r.ref(), Fence: s.fenceOf(r.worker)})
 }
 
 func (s *Scheduler) giveStrays(actions *Actions, now time.Time) {
@@ -111,7 +111,7 @@
 
 		found.sent = now
 		s.strays[ref] = found
-		actions.Stops = append(actions.Stops, Stop{To: found.worker.ref(), Run: ref, Fence: s.fence})
+		actions.Stops = append(actions.Stops, Stop{To: found.worker.ref(), Run: ref, Fence: s.fenceOf(found.worker)})
 	}
 }
 
@@ -125,9 +125,16 @@
 		return
 	}
 
-	order := mill.RenewOrder{Fence: s.fence, Seen: w.seen}
+	order := mill.RenewOrder{Fence: s.fenceOf(w)}
 
-	if holding && w.clock.known() {
+	// After a silence another life may have begun under the id, and numbers its ends anew.
+	if now.Sub(w.answered) < sameLife {
+		order.Seen = w.seen
+	}
+
+	// A worker that does not answer gets no longer leases: they have to lapse before
+	// its tasks can run elsewhere.
+	if holding && w.failures == 0 && w.clock.known() {
 		order.UntilMilli = w.extend(now, s.bounds.Lease())
 	}
 
@@ -172,6 +179,10 @@
 	return holding, settled
 }
 
+// sameLife is how long after an answer a worker cannot have ended and started
+// again: a process takes longer than that to start.
+const sameLife = 500 * time.Millisecond
+
 // ackPause is how long an idle worker waits to hear that its last ends are
 // committed; a start that comes before makes a call of its own needless.
 const ackPause = 300 * time.Millisecond
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -297,6 +297,8 @@
 		spec:       c.job.Work.Spec,
 		checkpoint: task.Checkpoint,
 		resume:     task.Checkpoint,
+
+		failedBefore: task.Failures > 0,
 	}
 
 	if c.step.Gang {
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -51,6 +51,8 @@
 	percent float64
 	moved   time.Time
 	cause   mill.EndCause
+	// failedBefore says that an earlier run of the task has failed.
+	failedBefore bool
 }
 
 func (r *run) ref() mill.RunRef {
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -20,6 +20,7 @@
 	advice    map[mill.StepID]*advice
 	callers   map[string]*caller
 	estimates plan.Estimates
+	rates     plan.Rates
 	ends      []ended
 	// strays are runs that workers have and nobody wants.
 	strays map[mill.RunRef]stray
@@ -44,12 +45,16 @@
 	sent   time.Time
 }
 
-// New returns the scheduler of a term that begins; the fencing token must be
-// higher than that of every earlier one. It takes over the runs that the state holds.
-func New(bounds Bounds, fence uint64, now time.Time, state *jobs.State, placer mill.Placer) *Scheduler {
+// livesBits is the part of a fencing token that counts the lives of a worker which
+// start under one id, so that late orders to an earlier life do nothing.
+const livesBits = 20
+
+// New returns the scheduler of a term that begins; the term must be higher than
+// every earlier one. It takes over the runs that the state holds.
+func New(bounds Bounds, term uint64, now time.Time, state *jobs.State, placer mill.Placer) *Scheduler {
 	s := &Scheduler{
 		bounds:  bounds,
-		fence:   fence,
+		fence:   term << livesBits,
 		began:   now,
 		placer:  placer,
 		workers: make(map[string]*worker),
@@ -66,9 +71,9 @@
 	return s
 }
 
-// Fence returns the scheduler's fencing token.
-func (s *Scheduler) Fence() uint64 {
-	return s.fence
+// fenceOf returns the fencing token for orders to a worker.
+func (s *Scheduler) fenceOf(w *worker) uint64 {
+	return s.fence + w.lives
 }
 
 func (s *Scheduler) inherit(job *jobs.Job) {
@@ -142,6 +147,7 @@
 // reborn takes note that a worker has started again under its id: what ran is
 // lost, but an order that was not answered may still reach the new life.
 func (s *Scheduler) reborn(w *worker, now time.Time) {
+	w.lives++
 	w.clock = clock{}
 	w.until = 0
 	w.seen = 0
@@ -231,6 +237,8 @@
 }
 
 func (s *Scheduler) endAll(w *worker, cause mill.EndCause) {
+	w.inherits = false
+
 	for _, r := range w.runs {
 		if r.phase != runProposed {
 			s.endRun(r, cause)
@@ -281,12 +289,18 @@
 	switch e.cause {
 	case mill.EndDone:
 		record.Succeeded()
+		s.rates.Learn(e.run.queue, false)
 
 		if !e.run.started.IsZero() && e.run.resume == "" {
 			s.estimates.Learn(e.run.queue, now.Sub(e.run.started), e.run.step.Estimate)
 		}
 	case mill.EndFailed:
-		record.Failed(now)
+		// A task that has failed elsewhere says nothing about this worker.
+		if !e.run.failedBefore {
+			record.Failed(e.run.task.Job, s.rates.Weight(e.run.queue), now)
+		}
+
+		s.rates.Learn(e.run.queue, true)
 	default:
 	}
 }
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -12,6 +12,8 @@
 	status mill.WorkerStatus
 	// heard is when the worker last said anything; zero while it is only known from placements.
 	heard time.Time
+	// answered is when the worker answered a renewal last.
+	answered time.Time
 	// removed is when the worker said that it ends.
 	removed time.Time
 	// gone says that the worker has certainly ended.
@@ -24,6 +26,8 @@
 	clock   clock
 	// until is the end of the latest lease given, by the worker's clock.
 	until int64
+	// lives counts the lives under the id that this scheduler has seen end.
+	lives uint64
 	// seen is the highest number of an end up to which all are committed; acked is
 	// what the worker knows of that, and pending the highest number it has listed.
 	seen    uint64
