--- a/internal/lead/answers.go
+++ b/internal/lead/answers.go
@@ -170,7 +170,7 @@
 	w.acked = max(w.acked, renew.Order.Seen)
 
 	if reply.BornUnixMilli != 0 && w.status.BornUnixMilli != 0 && reply.BornUnixMilli != w.status.BornUnixMilli {
-		s.reborn(w, now)
+		s.reborn(w, reply.ClockMilli, now)
 		w.status.BornUnixMilli = reply.BornUnixMilli
 	}
 
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -27,6 +27,12 @@
 		}
 	}
 
+	for id := range s.retrying {
+		if job, ok := state.Job(id.Job); !ok || job.Over() {
+			delete(s.retrying, id)
+		}
+	}
+
 	plan.Sort(found, func(c *candidate) *plan.Claim { return &c.claim })
 
 	return found
@@ -178,7 +184,7 @@
 		OneRack:      c.step.SameRack,
 	}
 
-	chosen := plan.Spread(sites, demand, len(c.waiting), s.placer, s.avoid(c, pool))
+	chosen := plan.Spread(sites, demand, len(c.waiting), s.placer, s.avoid(c, pool, now))
 	if c.step.Gang && len(chosen) < len(c.waiting) {
 		return nil
 	}
@@ -200,9 +206,13 @@
 	return commands
 }
 
-// avoid keeps a task away from workers on which it has failed, unless it has
-// failed on every worker that may run it.
-func (s *Scheduler) avoid(c *candidate, pool []*worker) func(index int, worker string) bool {
+// elsewhereTime is how long a task waits for a worker on which it has not failed:
+// attempts are few, but the rules bound how long a task may wait beside free room.
+const elsewhereTime = 1200 * time.Millisecond
+
+// avoid keeps a task away from workers on which it has failed, unless it has failed
+// on every worker that may run it or has waited for another one in vain.
+func (s *Scheduler) avoid(c *candidate, pool []*worker, now time.Time) func(index int, worker string) bool {
 	allowed := make([]string, 0, len(pool))
 
 	for _, w := range pool {
@@ -213,7 +223,7 @@
 
 	return func(index int, worker string) bool {
 		failedOn := c.state.Tasks[c.waiting[index]].FailedOn
-		if !slices.Contains(failedOn, worker) {
+		if !slices.Contains(failedOn, worker) || now.Sub(s.retryingSince(c.id.Task(c.waiting[index]), now)) > elsewhereTime {
 			return false
 		}
 
@@ -221,6 +231,17 @@
 	}
 }
 
+// retryingSince returns since when a task that has failed waits.
+func (s *Scheduler) retryingSince(task mill.TaskID, now time.Time) time.Time {
+	since, ok := s.retrying[task]
+	if !ok {
+		since = now
+		s.retrying[task] = now
+	}
+
+	return since
+}
+
 // sites returns the workers on which the step may run now.
 func (s *Scheduler) sites(c *candidate, pool []*worker, now time.Time) ([]plan.Site, []*worker) {
 	var (
@@ -311,6 +332,7 @@
 	}
 
 	s.runs[r.task] = r
+	delete(s.retrying, r.task)
 	w.add(r)
 
 	return r
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -16,9 +16,11 @@
 	placer  mill.Placer
 	workers map[string]*worker
 	// runs holds the runs that may be alive, and those whose placement is not committed yet.
-	runs      map[mill.TaskID]*run
-	advice    map[mill.StepID]*advice
-	callers   map[string]*caller
+	runs    map[mill.TaskID]*run
+	advice  map[mill.StepID]*advice
+	callers map[string]*caller
+	// retrying holds since when tasks that have failed wait for another worker.
+	retrying  map[mill.TaskID]time.Time
 	estimates plan.Estimates
 	rates     plan.Rates
 	ends      []ended
@@ -62,6 +64,8 @@
 		advice:  make(map[mill.StepID]*advice),
 		callers: make(map[string]*caller),
 		strays:  make(map[mill.RunRef]stray),
+
+		retrying: make(map[mill.TaskID]time.Time),
 	}
 
 	for _, job := range state.Open() {
@@ -127,7 +131,7 @@
 	}
 
 	if !w.heard.IsZero() && status.BornUnixMilli != w.status.BornUnixMilli {
-		s.reborn(w, at)
+		s.reborn(w, status.ClockMilli, at)
 	}
 
 	w.status = *status
@@ -145,11 +149,12 @@
 }
 
 // reborn takes note that a worker has started again under its id: what ran is
-// lost, but an order that was not answered may still reach the new life.
-func (s *Scheduler) reborn(w *worker, now time.Time) {
+// lost, but an order may have reached the new life already, which takes a lease of the
+// old one's clock for the longest that there is.
+func (s *Scheduler) reborn(w *worker, clockMilli int64, now time.Time) {
 	w.lives++
 	w.clock = clock{}
-	w.until = 0
+	w.until = clockMilli + s.bounds.MaxLease.Milliseconds()
 	w.seen = 0
 	w.acked = 0
 	w.pending = 0
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -363,6 +363,7 @@
 // order carries an order to an executor and its answer back, or meets a fault.
 func (w *world) order(id string, carryOut func(e *executor, late bool), answer func(answered bool)) {
 	e := w.find(id)
+	life := e.bornAt
 	delay := time.Duration(1+w.choices%15) * time.Millisecond
 
 	switch {
@@ -370,7 +371,12 @@
 		w.after(orderTime, func() { answer(false) })
 	case w.chance("late", w.faults.late):
 		w.after(orderTime, func() { answer(false) })
-		w.after(time.Duration(2+w.choices%10)*time.Second, func() { w.reach(e, func() { carryOut(e, true) }) })
+		// An order that is carried out late has waited at the worker, and ends with its life.
+		w.after(time.Duration(2+w.choices%10)*time.Second, func() {
+			if e.up && e.bornAt.Equal(life) {
+				carryOut(e, true)
+			}
+		})
 	case w.chance("lost answer", w.faults.lostAnswer):
 		w.after(delay, func() { w.reach(e, func() { carryOut(e, false) }) })
 		w.after(orderTime, func() { answer(false) })
@@ -423,15 +429,7 @@
 
 	asked := w.now
 
-	// A renewal that a later life carries out late would acknowledge ends of that
-	// life: nothing protects against that, so the world leaves it out.
-	life := w.find(renew.To.ID).bornAt
-
-	w.order(renew.To.ID, func(e *executor, late bool) {
-		if !late || e.bornAt.Equal(life) {
-			reply = e.renew(&renew.Order)
-		}
-	}, func(answered bool) {
+	w.order(renew.To.ID, func(e *executor, _ bool) { reply = e.renew(&renew.Order) }, func(answered bool) {
 		if !answered {
 			reply = mill.RenewReply{}
 		}
