Replace voters that are lost for good, and keep their number odd

A voter that has been silent for two seconds gives its place to a learner that is ready; an even number of voters is avoided; five are the most.

Ruled out: the hand-over at SIGTERM (the planned replacement alone serves).

--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -51,7 +51,7 @@
 		n.sendEntries(p)
 	}
 
-	n.admit()
+	n.changeMembership()
 }
 
 // hearsQuorum reports whether a majority has answered within an election time.
@@ -68,47 +68,6 @@
 	return heard >= n.log.membership.Quorum()
 }
 
-// admit makes a learner that has the log, and was heard a moment ago, a voter. A
-// voter that its VM has lost is removed first: a VM has one vote.
-func (n *Node) admit() {
-	if !n.mayChangeMembership() {
-		return
-	}
-
-	for _, p := range n.progress.list {
-		if n.log.membership.Has(p.server.Identity) || !n.admissible(p) {
-			continue
-		}
-
-		n.change(p.server)
-
-		return
-	}
-}
-
-func (n *Node) admissible(p *progress) bool {
-	return p.match >= n.commit && p.quiet <= heartbeatTicks && p.server.VM != n.self.VM
-}
-
-// mayChangeMembership reports whether the last change and an entry of this term are committed.
-func (n *Node) mayChangeMembership() bool {
-	term, ok := n.log.termAt(n.commit)
-
-	return ok && term == n.term && n.log.membershipIndex <= n.commit
-}
-
-func (n *Node) change(learner Server) {
-	next := n.log.membership.With(learner)
-
-	for _, server := range n.log.membership.Servers {
-		if server.VM == learner.VM {
-			next = n.log.membership.Without(server.Identity)
-		}
-	}
-
-	n.add(Entry{Membership: &next})
-}
-
 // advance commits what a majority has stored, once that includes an entry of this term.
 func (n *Node) advance() {
 	matches := make([]uint64, 0, len(n.log.membership.Servers))
--- /dev/null
+++ b/internal/raft/membership_test.go
@@ -0,0 +1,105 @@
+package raft
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// voters returns the VMs of the membership that the leader knows.
+func (w *world) voters() []string {
+	var names []string
+
+	for _, server := range w.servers[w.leading()[0]].node.Membership().Servers {
+		names = append(names, server.VM)
+	}
+
+	return names
+}
+
+// rounds lets time pass without bringing back what was stopped.
+func (w *world) rounds(count int) {
+	for range count {
+		w.round()
+	}
+}
+
+// TestLearnerReplacesLostVoter expects a voter that never comes back to be
+// replaced by a server on another VM, so that another one can be lost after it.
+func TestLearnerReplacesLostVoter(t *testing.T) {
+	w := newWorld(t, "a", "b", "c", "d")
+	w.rounds(healRounds)
+	assert.Equal(t, len(w.voters()), 3, "a fourth voter would bear no more losses: %v", w.voters())
+
+	lost := w.voters()[1]
+	w.stop(lost)
+	w.rounds(healRounds + 4*silentTicks)
+
+	voters := w.voters()
+	assert.Equal(t, len(voters), 3)
+
+	for _, name := range voters {
+		assert.Assert(t, name != lost, "the lost voter is still there: %v", voters)
+	}
+
+	next := voters[1]
+	if next == w.leading()[0] {
+		next = voters[2]
+	}
+
+	w.stop(next)
+	w.rounds(healRounds)
+
+	leader := w.leading()[0]
+	before := w.servers[leader].node.Commit()
+	w.propose(leader)
+	w.rounds(healRounds)
+	assert.Assert(t, w.servers[leader].node.Commit() > before, "nothing is committed after the second loss")
+}
+
+// TestFiveVotersOfSix expects six servers to have five voters and a learner that
+// takes a lost voter's place.
+func TestFiveVotersOfSix(t *testing.T) {
+	w := newWorld(t, "a", "b", "c", "d", "e", "f")
+	w.rounds(4 * healRounds)
+	assert.Equal(t, len(w.voters()), 5)
+
+	lost := w.voters()[1]
+	if lost == w.leading()[0] {
+		lost = w.voters()[2]
+	}
+
+	w.stop(lost)
+	w.rounds(healRounds + 4*silentTicks)
+
+	voters := w.voters()
+	assert.Equal(t, len(voters), 5, "%v", voters)
+}
+
+// TestBootstrapTogether expects servers that begin with the same membership to elect a leader.
+func TestBootstrapTogether(t *testing.T) {
+	w := newWorld(t, "a")
+	w.names = []string{"a", "b", "c"}
+
+	servers := make([]Server, 0, len(w.names))
+
+	for _, name := range w.names {
+		w.servers[name] = &server{name: name}
+		w.newDisk(name)
+		servers = append(servers, w.serverOf(w.servers[name]))
+	}
+
+	w.leaders = make(map[uint64]string)
+	w.committed = make(map[uint64]string)
+
+	for _, name := range w.names {
+		began, err := Bootstrap(w.servers[name].disk, servers...)
+		assert.NilError(t, err)
+		assert.Assert(t, began)
+		w.start(name)
+	}
+
+	w.rounds(healRounds)
+	assert.Equal(t, len(w.leading()), 1)
+	assert.DeepEqual(t, w.voters(), w.names)
+}
