--- /dev/null
+++ b/internal/jobs/state_test.go
@@ -0,0 +1,310 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cranberrymill/cranberrymill/internal/seeds"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+func TestMain(m *testing.M) {
+	seeds.Exit(m.Run, 2000)
+}
+
+func setup(version uint64, queues ...string) *mill.Setup {
+	s := &mill.Setup{Version: version, Services: []mill.Service{{Name: "pool"}}}
+	for _, name := range queues {
+		s.Queues = append(s.Queues, mill.Queue{
+			Name: name, Prefix: "/" + name + "/", Service: "pool", MaxAttempts: 2, Timeout: 1,
+		})
+	}
+
+	return s
+}
+
+// known is what a plain reader of the pages would remember of a task.
+type known struct {
+	run      int
+	alive    bool
+	done     bool
+	failures int
+}
+
+// oracle follows a state by rules of its own.
+type oracle struct {
+	state    *State
+	version  uint64
+	queues   map[string]bool
+	jobs     map[string]mill.Workload
+	outcome  map[string]mill.JobState
+	tasks    map[mill.TaskID]*known
+	sequence int
+}
+
+// TestFuzzState draws commands, also stale, repeated and nonsensical ones, and
+// saves and loads the state between them.
+func TestFuzzState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &oracle{
+			state:   NewState(),
+			queues:  make(map[string]bool),
+			jobs:    make(map[string]mill.Workload),
+			outcome: make(map[string]mill.JobState),
+			tasks:   make(map[mill.TaskID]*known),
+		}
+
+		t.Repeat(map[string]func(*rapid.T){
+			"configure": o.configure,
+			"submit":    o.submit,
+			"cancel":    o.cancel,
+			"place":     o.place,
+			"places":    o.place,
+			"end":       o.end,
+			"ends":      o.end,
+			"reload":    o.reload,
+			"":          o.check,
+		})
+	})
+}
+
+func (o *oracle) configure(t *rapid.T) {
+	version := uint64(rapid.IntRange(1, 20).Draw(t, "version"))
+	names := rapid.SampledFrom([][]string{{"a"}, {"a", "b"}, {"b"}}).Draw(t, "queues")
+	result := o.state.Apply(&Command{Setup: setup(version, names...)})
+
+	if version <= o.version {
+		assert.Equal(t, result, ResultObsolete)
+
+		return
+	}
+
+	assert.Equal(t, result, ResultApplied)
+
+	o.version = version
+	o.queues = make(map[string]bool)
+
+	for _, name := range names {
+		o.queues[name] = true
+	}
+}
+
+func (o *oracle) submit(t *rapid.T) {
+	id := fmt.Sprintf("job%d", rapid.IntRange(0, 4).Draw(t, "job"))
+	queue := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "queue")
+	work := mill.Workload{Steps: []mill.Step{{Count: 2, Gang: rapid.Bool().Draw(t, "gang")}, {Count: 1, After: []int{0}}}}
+	result := o.state.Apply(&Command{Submit: &Submit{Job: id, Queue: queue, Work: work}})
+
+	_, exists := o.jobs[id]
+
+	switch {
+	case exists:
+		assert.Equal(t, result, ResultApplied)
+	case !o.queues[queue]:
+		assert.Equal(t, result, ResultNoQueue)
+	default:
+		assert.Equal(t, result, ResultApplied)
+
+		o.jobs[id] = work
+	}
+}
+
+func (o *oracle) cancel(t *rapid.T) {
+	id := fmt.Sprintf("job%d", rapid.IntRange(0, 4).Draw(t, "job"))
+	result := o.state.Apply(&Command{Cancel: &Cancel{Job: id}})
+
+	if _, ok := o.jobs[id]; !ok {
+		assert.Equal(t, result, ResultNotFound)
+
+		return
+	}
+
+	if o.outcome[id] == "" {
+		o.outcome[id] = mill.JobCanceled
+	}
+}
+
+func (o *oracle) task(t *rapid.T) mill.TaskID {
+	step := rapid.IntRange(0, 1).Draw(t, "step")
+
+	return mill.StepID{Job: fmt.Sprintf("job%d", rapid.IntRange(0, 4).Draw(t, "job")), Step: step}.
+		Task(rapid.IntRange(0, 1-step).Draw(t, "index"))
+}
+
+func (o *oracle) known(id mill.TaskID) *known {
+	if o.tasks[id] == nil {
+		o.tasks[id] = &known{}
+	}
+
+	return o.tasks[id]
+}
+
+func (o *oracle) stepDone(job string) bool {
+	first := mill.StepID{Job: job}
+
+	return o.known(first.Task(0)).done && o.known(first.Task(1)).done
+}
+
+func (o *oracle) place(t *rapid.T) {
+	id := o.task(t)
+	k := o.known(id)
+	run := k.run + rapid.IntRange(0, 2).Draw(t, "ahead")
+	result := o.state.Apply(&Command{Place: &Place{Task: id, Run: run, Worker: "w"}})
+
+	_, exists := o.jobs[id.Job]
+	wanted := exists && o.outcome[id.Job] == "" && !k.alive && !k.done && run > k.run &&
+		(id.Step == 0 || o.stepDone(id.Job))
+
+	if !wanted {
+		assert.Equal(t, result, ResultObsolete)
+
+		return
+	}
+
+	assert.Equal(t, result, ResultApplied)
+
+	k.run, k.alive = run, true
+}
+
+func (o *oracle) end(t *rapid.T) {
+	id := o.task(t)
+	k := o.known(id)
+	run := max(0, k.run-rapid.IntRange(0, 1).Draw(t, "behind"))
+	cause := rapid.SampledFrom([]mill.EndCause{
+		mill.EndDone, mill.EndDone, mill.EndFailed, mill.EndStopped, mill.EndNotStarted,
+	}).Draw(t, "cause")
+	result := o.state.Apply(&Command{End: &End{Task: id, Run: run, Cause: cause}})
+
+	if !k.alive || run != k.run {
+		assert.Equal(t, result, ResultObsolete)
+
+		return
+	}
+
+	assert.Equal(t, result, ResultApplied)
+
+	k.alive = false
+
+	switch cause {
+	case mill.EndDone:
+		o.done(id, run)
+	case mill.EndFailed:
+		k.failures++
+		o.failed(id)
+	default:
+	}
+}
+
+func (o *oracle) done(id mill.TaskID, run int) {
+	o.known(id).done = true
+
+	if o.jobs[id.Job].Steps[id.Step].Gang {
+		for index := range 2 {
+			member := o.known(id.Task(index))
+			if member.run == run {
+				member.done, member.alive = true, false
+			}
+		}
+	}
+
+	last := mill.StepID{Job: id.Job, Step: 1}
+	if o.outcome[id.Job] == "" && o.stepDone(id.Job) && o.known(last.Task(0)).done {
+		o.outcome[id.Job] = mill.JobCompleted
+	}
+}
+
+func (o *oracle) failed(id mill.TaskID) {
+	failures := o.known(id).failures
+	if o.jobs[id.Job].Steps[id.Step].Gang {
+		failures = o.known(id.Task(0)).failures + o.known(id.Task(1)).failures
+	}
+
+	if o.outcome[id.Job] == "" && failures >= 2 {
+		o.outcome[id.Job] = mill.JobFailed
+	}
+}
+
+func (o *oracle) reload(t *rapid.T) {
+	data, err := o.state.Save()
+	assert.NilError(t, err)
+
+	next := NewState()
+	assert.NilError(t, next.Load(data))
+
+	o.state = next
+}
+
+// check compares what callers would be told with what the oracle remembers.
+func (o *oracle) check(t *rapid.T) {
+	for id := range o.jobs {
+		job, ok := o.state.Job(id)
+		assert.Assert(t, ok, "the job %s is lost", id)
+
+		if o.outcome[id] != "" {
+			assert.Equal(t, job.State(), o.outcome[id])
+		} else {
+			assert.Assert(t, !job.State().Over(), "the job %s is %s", id, job.State())
+		}
+
+		_, open := o.state.Open()[id]
+		assert.Equal(t, open, o.outcome[id] == "" || job.Placed > 0)
+	}
+
+	assert.Equal(t, o.state.Len(), len(o.jobs))
+}
+
+// TestSubmitTwice expects the same id to be the same job for good.
+func TestSubmitTwice(t *testing.T) {
+	s := NewState()
+	s.Apply(&Command{Setup: setup(1, "a")})
+
+	work := mill.Workload{Steps: []mill.Step{{Count: 1}}}
+	task := mill.StepID{Job: "j"}.Task(0)
+
+	assert.Equal(t, s.Apply(&Command{Submit: &Submit{Job: "j", Queue: "a", Work: work}}), ResultApplied)
+	s.Apply(&Command{Place: &Place{Task: task, Run: 1, Worker: "w"}})
+	s.Apply(&Command{End: &End{Task: task, Run: 1, Cause: mill.EndDone}})
+	assert.Equal(t, s.Apply(&Command{Submit: &Submit{Job: "j", Queue: "a", Work: work}}), ResultApplied)
+
+	job, _ := s.Job("j")
+	assert.Equal(t, job.State(), mill.JobCompleted)
+}
+
+// TestPendingCountsWhatHasNotBegun expects a run that never began not to count as a start.
+func TestPendingCountsWhatHasNotBegun(t *testing.T) {
+	s := NewState()
+	s.Apply(&Command{Setup: setup(1, "a")})
+
+	task := mill.StepID{Job: "j"}.Task(0)
+
+	s.Apply(&Command{Submit: &Submit{Job: "j", Queue: "a", Work: mill.Workload{Steps: []mill.Step{{Count: 1}}}}})
+	assert.Equal(t, s.Pending("a"), 1)
+
+	s.Apply(&Command{Place: &Place{Task: task, Run: 1, Worker: "w"}})
+	assert.Equal(t, s.Pending("a"), 0)
+
+	s.Apply(&Command{End: &End{Task: task, Run: 1, Cause: mill.EndNotStarted}})
+	assert.Equal(t, s.Pending("a"), 1)
+}
+
+// TestForgetKeepsWhatIsOpen expects only jobs that are over to be forgotten.
+func TestForgetKeepsWhatIsOpen(t *testing.T) {
+	s := NewState()
+	s.Apply(&Command{Setup: setup(1, "a")})
+
+	for _, id := range []string{"open", "over"} {
+		s.Apply(&Command{Submit: &Submit{Job: id, Queue: "a", Work: mill.Workload{Steps: []mill.Step{{Count: 1}}}}})
+	}
+
+	s.Apply(&Command{Cancel: &Cancel{Job: "over"}})
+	s.Apply(&Command{Forget: &Forget{Jobs: []string{"open", "over", "none"}}})
+
+	_, open := s.Job("open")
+	_, over := s.Job("over")
+
+	assert.Assert(t, open)
+	assert.Assert(t, !over)
+}
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,130 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// TestSoundWorkerSurvivesHopelessJobs plays jobs that fail wherever they run, and
+// expects no worker to be held back for them.
+func TestSoundWorkerSurvivesHopelessJobs(t *testing.T) {
+	var (
+		record Record
+		rates  Rates
+	)
+
+	for job := range 40 {
+		rates.Learn("queue", job%2 == 0)
+	}
+
+	for range 20 {
+		record.Failed("hopeless", rates.Weight("queue"), start)
+	}
+
+	assert.Assert(t, record.Trusted(start), "one job must not hold a worker back")
+
+	for _, job := range []string{"a", "b", "c"} {
+		record.Failed(job, rates.Weight("queue"), start)
+	}
+
+	assert.Assert(t, record.Trusted(start), "in a queue where half fails, a few failures say little")
+}
+
+// TestBadWorkerIsHeldBack plays a worker that fails all it starts, and expects it to be
+// held back, tried with one task, and held back for longer.
+func TestBadWorkerIsHeldBack(t *testing.T) {
+	var record Record
+
+	for _, job := range []string{"a", "b", "c"} {
+		assert.Assert(t, record.Trusted(start))
+		record.Failed(job, 1, start)
+	}
+
+	assert.Assert(t, !record.Trusted(start))
+
+	later := start.Add(holdBackFirst)
+	assert.Assert(t, record.Trusted(later))
+	assert.Assert(t, record.OnTrial())
+
+	record.Failed("d", 1, later)
+	record.Failed("e", 1, later)
+	assert.Assert(t, !record.Trusted(later.Add(holdBackFirst)), "the second hold-back is longer")
+
+	record.Succeeded()
+	assert.Assert(t, record.Trusted(later))
+	assert.Assert(t, !record.OnTrial())
+}
+
+// TestOrder plays a pool with less room than work.
+func TestOrder(t *testing.T) {
+	inTime := &Claim{Priority: 2, Age: time.Second, Objective: 10 * time.Second, Remaining: time.Second}
+	urgent := &Claim{Priority: 0, Age: time.Second, Objective: 10 * time.Second, Remaining: time.Second}
+	late := &Claim{Priority: 0, Age: 11 * time.Second, Objective: 10 * time.Second, Remaining: time.Second}
+	missed := &Claim{Priority: 0, Age: 40 * time.Second, Objective: 10 * time.Second, Remaining: time.Second}
+
+	values := []*Claim{missed, late, inTime, urgent}
+	Sort(values, func(c *Claim) *Claim { return c })
+	assert.DeepEqual(t, values, []*Claim{urgent, inTime, late, missed})
+}
+
+// TestChainFollowsTheLongestPath expects parallel steps not to add up.
+func TestChainFollowsTheLongestPath(t *testing.T) {
+	work := &mill.Workload{Steps: []mill.Step{{}, {After: []int{0}}, {After: []int{0}}, {After: []int{1, 2}}}}
+	takes := func(step int) time.Duration { return time.Duration(step+1) * time.Second }
+
+	assert.Equal(t, Chain(work, nil, takes), 8*time.Second)
+	assert.Equal(t, Chain(work, func(step int) bool { return step < 2 }, takes), 7*time.Second)
+}
+
+// TestEstimatesFollowWhatWasSeen expects guesses that are too low to be corrected.
+func TestEstimatesFollowWhatWasSeen(t *testing.T) {
+	var estimates Estimates
+
+	assert.Equal(t, estimates.Correct("queue", time.Second), time.Second)
+
+	for range 100 {
+		estimates.Learn("queue", 2*time.Second, time.Second)
+	}
+
+	assert.Assert(t, estimates.Correct("queue", time.Second) > 1900*time.Millisecond)
+	assert.Equal(t, estimates.Correct("another", time.Second), time.Second)
+}
+
+type firstFit struct{}
+
+func (firstFit) Score(*mill.WorkerView, mill.Resources) float64 { return 0 }
+
+func sites(rooms ...int64) []Site {
+	list := make([]Site, 0, len(rooms))
+	for i, room := range rooms {
+		list = append(list, Site{View: mill.WorkerView{
+			ID: string(rune('a' + i)), Rack: string(rune('r' + i/2)), Free: mill.Resources{MilliCores: room},
+		}})
+	}
+
+	return list
+}
+
+// TestSpreadKeepsOneRack expects tasks that belong together to go to a rack that
+// holds them all, and to be placed anyway where none does.
+func TestSpreadKeepsOneRack(t *testing.T) {
+	demand := &Demand{Each: mill.Resources{MilliCores: 1000}, OneRack: true}
+
+	assert.DeepEqual(t, Spread(sites(1000, 0, 1000, 1000), demand, 2, firstFit{}, nil), []int{2, 3})
+	assert.DeepEqual(t, Spread(sites(1000, 0, 1000, 0), demand, 2, firstFit{}, nil), []int{0, 2})
+}
+
+// TestSpreadKeepsBounds expects a bound of tasks on one worker, and one task for a worker on trial.
+func TestSpreadKeepsBounds(t *testing.T) {
+	demand := &Demand{Each: mill.Resources{MilliCores: 1000}, MaxPerWorker: 2}
+	list := sites(4000, 4000)
+	list[1].Trial = true
+
+	assert.DeepEqual(t, Spread(list, demand, 5, firstFit{}, nil), []int{0, 0, 1})
+}
