Ask the advisor first for steps with room, then for those that are next

The scheduler logs each second what it has in hand; that showed it. The scene test that failed once before the first change here was traced: it killed the process between the answer to the caller and its record, which the design leaves unknown; it now waits for the record first.

Ruled out: silent workers (350 of 350 usable), dead callers (40 of 45 heard).

--- a/internal/lead/ask.go
+++ b/internal/lead/ask.go
@@ -12,25 +12,43 @@
 	// askSlack is what an answer may take beyond what the policy says: the ways
 	// between regions, and other questions that the advisor has not finished.
 	askSlack = 600 * time.Millisecond
+	// reservedShare is the part of the addresses, one in that many, that is kept for
+	// steps which could start with an answer.
+	reservedShare = 4
 )
 
-// ask returns the questions for the advisor that are due: one for each address
-// that has none open, for the steps that come first.
+// ask returns the questions for the advisor that are due, one for each address that
+// has none open. It answers days on which more steps wait than can be asked about:
+// steps that could be placed with an answer come first, and a part of the
+// addresses is kept for those; the rest keeps tickets fresh for the steps that are
+// next, so that room which becomes free is not idle while the advisor decides.
 func (s *Scheduler) ask(candidates []*candidate, now time.Time) []Ask {
 	callers := s.freeCallers(now)
+	asks := s.askFor(nil, candidates, callers, now, s.urgentNames)
+	spare := len(callers) - len(asks) - len(s.callers)/reservedShare
 
-	var asks []Ask
+	if spare <= 0 {
+		return asks
+	}
+
+	return s.askFor(asks, candidates, callers[:len(asks)+spare], now, s.nextNames)
+}
 
+// askFor adds questions until every caller has one.
+func (s *Scheduler) askFor(
+	asks []Ask, candidates []*candidate, callers []string, now time.Time,
+	choose func(c *candidate, now time.Time) []string,
+) []Ask {
 	for _, c := range candidates {
 		if len(asks) == len(callers) {
 			break
 		}
 
-		if c.advice == nil || c.advice.asking || now.Before(c.advice.next) {
+		if !c.canAsk(now) {
 			continue
 		}
 
-		names := s.namesFor(c, now)
+		names := choose(c, now)
 		if len(names) == 0 {
 			continue
 		}
@@ -50,6 +68,11 @@
 	return asks
 }
 
+// canAsk reports whether the step needs advice and none is being asked for.
+func (c *candidate) canAsk(now time.Time) bool {
+	return c.advice != nil && len(c.waiting) > 0 && !c.advice.asking && !now.Before(c.advice.next)
+}
+
 func (s *Scheduler) freeCallers(now time.Time) []string {
 	var free []string
 
@@ -64,49 +87,61 @@
 	return free
 }
 
-// namesFor returns the workers to ask about for a step that could not be placed
-// whole: at first as many as a question may name, then those that are allowed,
-// have room and no valid ticket, and otherwise those that were not asked about yet.
-func (s *Scheduler) namesFor(c *candidate, now time.Time) []string {
-	if len(c.waiting) == 0 {
-		return nil
+// urgentNames returns the workers to ask about for a step that has room but no
+// leave to use it: those that are allowed and have no valid ticket, and otherwise
+// those that were not asked about yet.
+func (s *Scheduler) urgentNames(c *candidate, now time.Time) []string {
+	standing := s.standing(c, now, true)
+
+	if len(standing.expired) > 0 {
+		return names(append(standing.expired, standing.valid...))
 	}
 
-	unknown, expired, valid := s.split(c, now)
+	return names(standing.unknown)
+}
+
+// nextNames returns the workers to ask about for a step without room, so that it
+// can take what becomes free: all that are allowed, or more as long as none is.
+func (s *Scheduler) nextNames(c *candidate, now time.Time) []string {
+	standing := s.standing(c, now, false)
 
-	switch {
-	case len(c.advice.asked) == 0:
-		return names(unknown)
-	case len(expired) > 0:
-		return names(append(expired, valid...))
-	default:
-		return names(unknown)
+	if len(standing.expired)+len(standing.valid) == 0 {
+		return names(standing.unknown)
 	}
+
+	return names(standing.expired)
 }
 
-// split returns the workers that could run the step: those with unknown standing,
-// and of those that are allowed and have room the ones without and with a valid ticket.
-func (s *Scheduler) split(c *candidate, now time.Time) (unknown, expired, valid []*worker) {
+// standing sorts the workers that could run a step by what the advisor has said.
+type standing struct {
+	unknown []*worker
+	expired []*worker
+	valid   []*worker
+}
+
+// standing looks at all workers, or at those with room now.
+func (s *Scheduler) standing(c *candidate, now time.Time, withRoom bool) standing {
+	var found standing
+
 	for _, w := range s.workers {
-		if !c.suits(w) || !w.usable(now) {
+		if !c.suits(w) || !w.usable(now) || (withRoom && !c.step.Reserves().Fits(w.free())) {
 			continue
 		}
 
 		allowed, holds := c.allows(w.status.ID, now)
-		room := c.step.Reserves().Fits(w.free())
 
 		switch {
-		case !allowed && !c.advice.asked[w.status.ID]:
-			unknown = append(unknown, w)
-		case allowed && !holds && room:
-			expired = append(expired, w)
-		case allowed && room:
-			valid = append(valid, w)
+		case allowed && holds:
+			found.valid = append(found.valid, w)
+		case allowed:
+			found.expired = append(found.expired, w)
+		case !c.advice.asked[w.status.ID]:
+			found.unknown = append(found.unknown, w)
 		default:
 		}
 	}
 
-	return unknown, expired, valid
+	return found
 }
 
 // names returns the ids of the workers with the most room.
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -19,6 +19,8 @@
 	planPause = 3 * time.Millisecond
 	// planIdle is the longest time between two plans: lapses and retries are due then.
 	planIdle = 50 * time.Millisecond
+	// summaryTime is how often a line tells what the scheduler has in hand.
+	summaryTime = time.Second
 	// answerSlack is what an answer may take beyond the wait that was asked for.
 	answerSlack = 600 * time.Millisecond
 )
@@ -42,6 +44,7 @@
 	outside   Outside
 	events    *ring.Ring[func(now time.Time)]
 	context   context.Context
+	summed    time.Time
 }
 
 // NewRunner returns a runner for a term; its context ends the term.
@@ -88,6 +91,7 @@
 		})
 		r.perform(&actions)
 		r.logEvents()
+		r.logSummary(now)
 		r.pause()
 	}
 }
@@ -196,6 +200,22 @@
 	}
 }
 
+// logSummary logs each second what the scheduler has in hand.
+func (r *Runner) logSummary(now time.Time) {
+	if now.Sub(r.summed) < summaryTime {
+		return
+	}
+
+	r.summed = now
+
+	r.outside.View(func(state *jobs.State) {
+		s := r.scheduler.Summary(now, state)
+		log.Info().Int("open", s.Open).Int("waitingSteps", s.Steps).Int("asking", s.Asking).Int("runs", s.Runs).
+			Int("doubtful", s.Doubtful).Int("workers", s.Workers).Int("usable", s.Usable).Int("callers", s.Callers).
+			Int("busyCallers", s.Busy).Msg("in hand")
+	})
+}
+
 func (r *Runner) logEvents() {
 	for _, e := range r.scheduler.TakeEvents() {
 		log.Info().Str("task", e.Task.String()).Int("run", e.Run).Str("worker", e.Worker).
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -27,6 +27,8 @@
 	// strays are runs that workers have and nobody wants.
 	strays map[mill.RunRef]stray
 	events []Event
+	// waitingSteps counts the steps that the last plan left with tasks to place.
+	waitingSteps int
 }
 
 // caller is an address from which the advisor can be asked, one question at a time.
@@ -201,6 +203,7 @@
 	candidates := s.candidates(wall, state)
 	actions.Commands = append(actions.Commands, s.place(candidates, now)...)
 	actions.Asks = s.ask(candidates, now)
+	s.waitingSteps = countWaiting(candidates)
 	s.give(&actions, now)
 
 	return actions
--- a/internal/lead/step.go
+++ b/internal/lead/step.go
@@ -39,6 +39,18 @@
 	advice  *advice
 }
 
+func countWaiting(candidates []*candidate) int {
+	count := 0
+
+	for _, c := range candidates {
+		if len(c.waiting) > 0 {
+			count++
+		}
+	}
+
+	return count
+}
+
 // suits reports whether the worker could run a task of the step if it were empty.
 func (c *candidate) suits(w *worker) bool {
 	return w.status.Service == c.queue.Service && w.status.HasLabel(c.step.Label) &&
--- a/test/scene/path_test.go
+++ b/test/scene/path_test.go
@@ -37,6 +37,12 @@
 	assert.Equal(t, first.body, "excavator 1")
 	assert.Equal(t, first.header.Get("X-Echo-Path"), "/booking/contracts?a=%20b")
 
+	// An answer is recorded after the caller has it (docs/design/keyed-requests.md): a kill
+	// in between truly leaves the outcome unknown for good, and is not what is tested here.
+	await(t, "the answer is recorded", func() bool {
+		return send(t, http.MethodPost, vm.HTTP, "/booking/contracts?a=%20b", "k1", "excavator").replayed
+	})
+
 	p.kill()
 	start(t, s.folder, "run", "--settings", s.settings(vm.Name))
 
