Ask about kept room only, let followers ask too, and begin a term without a proposal

The plan now keeps room for a step that is being asked about, asks about that room only, and keeps some addresses for quick questions. A term begins when the group has committed an entry of it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,7 +96,7 @@
 		changed: make(chan struct{}),
 		placer:  place.Pack{},
 	}
-	c.link = NewLink(c.client, config.Seeds, "")
+	c.link = NewLink(c.client, config.Seeds, config.Address)
 
 	c.pool, err = ants.NewPool(poolSize, ants.WithNonblocking(true))
 
@@ -244,7 +244,7 @@
 	role := c.host.Role()
 
 	switch {
-	case role.Leading && c.led != role.Term:
+	case role.Leading && role.Current && c.led != role.Term:
 		c.lead(role.Term)
 	case !role.Leading && c.led != 0:
 		c.retire("lost the lead")
@@ -276,27 +276,17 @@
 	return c.changed
 }
 
-// lead begins a term: once an entry of it is committed, all that earlier leaders
-// have committed is known, and scheduling can begin.
+// lead begins a term in which all that earlier leaders have committed is known. It
+// needs no proposal of its own: after a restart with a long log one could be refused.
 func (c *Core) lead(term uint64) {
 	c.retire("a new term")
 	c.led = term
 
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.end = cancel
-	began := time.Now()
 
 	log.Info().Uint64("term", term).Str("vm", c.config.VM).Msg("leading")
-
-	c.propose(nil, func(_ []jobs.Result, err error) {
-		if err != nil {
-			log.Warn().Err(err).Uint64("term", term).Msg("the term ended before it could begin")
-
-			return
-		}
-
-		c.schedule(ctx, term, began)
-	})
+	c.schedule(ctx, term, time.Now())
 }
 
 // schedule starts the scheduler of a term; it runs on the driver's goroutine.
@@ -318,7 +308,7 @@
 	go runner.Run()
 	go c.callHere(ctx, runner)
 
-	log.Info().Uint64("term", term).Dur("after", time.Since(began)).Int("open", len(c.machine.state.Open())).
+	log.Info().Uint64("term", term).Int("open", len(c.machine.state.Open())).
 		Msg("scheduling")
 }
 
--- a/internal/core/path_test.go
+++ b/internal/core/path_test.go
@@ -106,7 +106,7 @@
 
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		assert.Check(t, <-done)
 
 		for i := range s.cores {
 			s.stop(i)
@@ -152,7 +152,7 @@
 	}
 
 	s.stops[at]()
-	<-s.done[at]
+	assert.Check(s.t, <-s.done[at])
 
 	s.stops[at] = nil
 }
--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -34,6 +34,9 @@
 // Role is what this process is to the group.
 type Role struct {
 	Leading bool
+	// Current says that an entry of the term is committed: a leader then knows all
+	// that earlier ones have committed.
+	Current bool
 	Term    uint64
 	// Leader is empty while none is known.
 	Leader  raft.Server
@@ -143,6 +146,7 @@
 	leader, _ := h.node.Leader()
 	h.role.Store(&Role{
 		Leading: h.node.Leading(),
+		Current: h.node.Current(),
 		Term:    h.node.Term(),
 		Leader:  leader,
 		Commit:  h.node.Commit(),
--- a/internal/jobs/state_test.go
+++ b/internal/jobs/state_test.go
@@ -36,13 +36,12 @@
 
 // oracle follows a state by rules of its own.
 type oracle struct {
-	state    *State
-	version  uint64
-	queues   map[string]bool
-	jobs     map[string]mill.Workload
-	outcome  map[string]mill.JobState
-	tasks    map[mill.TaskID]*known
-	sequence int
+	state   *State
+	version uint64
+	queues  map[string]bool
+	jobs    map[string]mill.Workload
+	outcome map[string]mill.JobState
+	tasks   map[mill.TaskID]*known
 }
 
 // TestFuzzState draws commands, also stale, repeated and nonsensical ones, and
--- a/internal/lead/ask.go
+++ b/internal/lead/ask.go
@@ -12,60 +12,73 @@
 	// askSlack is what an answer may take beyond what the policy says: the ways
 	// between regions, and other questions that the advisor has not finished.
 	askSlack = 600 * time.Millisecond
-	// reservedShare is the part of the addresses, one in that many, that is kept for
-	// steps which could start with an answer.
-	reservedShare = 4
+	// keptShare is the part of the addresses, one in that many, that is kept for quick questions.
+	keptShare = 4
+	// quickAnswer is how long a quick question may take.
+	quickAnswer = 50 * time.Millisecond
 )
 
 // ask returns the questions for the advisor that are due, one for each address that
 // has none open. It answers days on which more steps wait than can be asked about:
-// steps that could be placed with an answer come first, and a part of the
-// addresses is kept for those; the rest keeps tickets fresh for the steps that are
-// next, so that room which becomes free is not idle while the advisor decides.
+// only steps that the plan has kept room for are asked about, in their order, and
+// some addresses are kept for questions that are answered quickly. What is left
+// learns early which workers may run a step that has no room yet.
 func (s *Scheduler) ask(candidates []*candidate, now time.Time) []Ask {
 	callers := s.freeCallers(now)
-	asks := s.askFor(nil, candidates, callers, now, s.urgentNames)
-	spare := len(callers) - len(asks) - len(s.callers)/reservedShare
+	kept := len(s.callers) / keptShare
 
-	if spare <= 0 {
-		return asks
+	var asks []Ask
+
+	for _, c := range candidates {
+		free := len(callers) - len(asks)
+		if free == 0 {
+			return asks
+		}
+
+		if len(c.wanted) > 0 && c.canAsk(now) && (free > kept || c.quick()) {
+			asks = append(asks, s.askOne(c, callers[len(asks)], c.wanted))
+		}
 	}
 
-	return s.askFor(asks, candidates, callers[:len(asks)+spare], now, s.nextNames)
+	return s.askEarly(asks, candidates, callers, now)
 }
 
-// askFor adds questions until every caller has one.
-func (s *Scheduler) askFor(
-	asks []Ask, candidates []*candidate, callers []string, now time.Time,
-	choose func(c *candidate, now time.Time) []string,
-) []Ask {
+// askEarly adds questions about steps that were never asked about, as long as half
+// of the addresses are left.
+func (s *Scheduler) askEarly(asks []Ask, candidates []*candidate, callers []string, now time.Time) []Ask {
 	for _, c := range candidates {
-		if len(asks) == len(callers) {
+		if len(callers)-len(asks) <= len(s.callers)/2 {
 			break
 		}
 
-		if !c.canAsk(now) {
+		if !c.canAsk(now) || len(c.advice.asked) > 0 {
 			continue
 		}
 
-		names := choose(c, now)
-		if len(names) == 0 {
-			continue
+		if names := names(s.suitable(c, now)); len(names) > 0 {
+			asks = append(asks, s.askOne(c, callers[len(asks)], names))
 		}
+	}
 
-		caller := callers[len(asks)]
-		s.callers[caller].busy = true
-		c.advice.asking = true
+	return asks
+}
 
-		asks = append(asks, Ask{
-			Caller:  caller,
-			Step:    c.id,
-			Workers: names,
-			Limit:   c.queue.Advice.Cost(len(names)) + askSlack,
-		})
+func (s *Scheduler) askOne(c *candidate, caller string, names []string) Ask {
+	s.callers[caller].busy = true
+	c.advice.asking = true
+	c.advice.named = names
+
+	return Ask{
+		Caller:  caller,
+		Step:    c.id,
+		Workers: names,
+		Limit:   c.queue.Advice.Cost(len(names)) + askSlack,
 	}
+}
 
-	return asks
+// quick reports whether the advisor answers questions of the step's queue quickly.
+func (c *candidate) quick() bool {
+	return c.queue.Advice.Cost(maxAsked) <= quickAnswer
 }
 
 // canAsk reports whether the step needs advice and none is being asked for.
@@ -87,57 +100,13 @@
 	return free
 }
 
-// urgentNames returns the workers to ask about for a step that has room but no
-// leave to use it: those that are allowed and have no valid ticket, and otherwise
-// those that were not asked about yet.
-func (s *Scheduler) urgentNames(c *candidate, now time.Time) []string {
-	standing := s.standing(c, now, true)
-
-	if len(standing.expired) > 0 {
-		return names(append(standing.expired, standing.valid...))
-	}
-
-	return names(standing.unknown)
-}
-
-// nextNames returns the workers to ask about for a step without room, so that it
-// can take what becomes free: all that are allowed, or more as long as none is.
-func (s *Scheduler) nextNames(c *candidate, now time.Time) []string {
-	standing := s.standing(c, now, false)
-
-	if len(standing.expired)+len(standing.valid) == 0 {
-		return names(standing.unknown)
-	}
-
-	return names(standing.expired)
-}
-
-// standing sorts the workers that could run a step by what the advisor has said.
-type standing struct {
-	unknown []*worker
-	expired []*worker
-	valid   []*worker
-}
-
-// standing looks at all workers, or at those with room now.
-func (s *Scheduler) standing(c *candidate, now time.Time, withRoom bool) standing {
-	var found standing
+// suitable returns the workers that could run the step if they were empty.
+func (s *Scheduler) suitable(c *candidate, now time.Time) []*worker {
+	var found []*worker
 
 	for _, w := range s.workers {
-		if !c.suits(w) || !w.usable(now) || (withRoom && !c.step.Reserves().Fits(w.free())) {
-			continue
-		}
-
-		allowed, holds := c.allows(w.status.ID, now)
-
-		switch {
-		case allowed && holds:
-			found.valid = append(found.valid, w)
-		case allowed:
-			found.expired = append(found.expired, w)
-		case !c.advice.asked[w.status.ID]:
-			found.unknown = append(found.unknown, w)
-		default:
+		if c.suits(w) && w.usable(now) {
+			found = append(found, w)
 		}
 	}
 
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -140,18 +140,77 @@
 	return a
 }
 
+// pass is one look at all candidates, best first.
+type pass struct {
+	now   time.Time
+	pools map[string][]*worker
+	// kept is the room that is kept for steps which come first and wait for the advisor.
+	kept map[*worker]mill.Resources
+}
+
+func (p *pass) free(w *worker) mill.Resources {
+	return w.free().Sub(p.kept[w])
+}
+
 // place returns the placements that are to be committed, and claims their room.
 func (s *Scheduler) place(candidates []*candidate, now time.Time) []jobs.Command {
 	commands := make([]jobs.Command, 0, len(candidates))
-	pools := s.pools(now)
+	p := &pass{now: now, pools: s.pools(now), kept: make(map[*worker]mill.Resources)}
 
 	for _, c := range candidates {
-		commands = append(commands, s.placeStep(c, pools[c.queue.Service], now)...)
+		commands = append(commands, s.placeStep(c, p)...)
+
+		if c.advice != nil && len(c.waiting) > 0 {
+			s.keep(c, p)
+		}
 	}
 
 	return commands
 }
 
+// keep keeps room for a step that could run if the advisor allows it, so that
+// steps which come later do not take it meanwhile, and names the workers to ask about.
+func (s *Scheduler) keep(c *candidate, p *pass) {
+	var (
+		sites   []plan.Site
+		workers []*worker
+	)
+
+	for _, w := range p.pools[c.queue.Service] {
+		if s.mayKeep(c, w, p) {
+			sites = append(sites, c.site(w, p.free(w)))
+			workers = append(workers, w)
+		}
+	}
+
+	chosen := plan.Spread(sites, c.demand(), len(c.waiting), s.placer, nil)
+	if len(chosen) == 0 || (c.step.Gang && len(chosen) < len(c.waiting)) {
+		return
+	}
+
+	for _, at := range chosen {
+		p.kept[workers[at]] = p.kept[workers[at]].Add(c.step.Reserves())
+	}
+
+	c.wanted = names(workers)
+}
+
+// mayKeep reports whether room on a worker may be kept for a step: the advisor has
+// not refused the worker, and is not being asked about others.
+func (s *Scheduler) mayKeep(c *candidate, w *worker, p *pass) bool {
+	if !c.suits(w) || !c.step.Reserves().Fits(p.free(w)) {
+		return false
+	}
+
+	if c.advice.asking {
+		return slices.Contains(c.advice.named, w.status.ID)
+	}
+
+	allowed, valid := c.allows(w.status.ID, p.now)
+
+	return allowed && (!valid || c.step.Gang) || !allowed && !c.advice.asked[w.status.ID]
+}
+
 // pools returns the workers that may be given work, by service, in a fixed order.
 func (s *Scheduler) pools(now time.Time) map[string][]*worker {
 	pools := make(map[string][]*worker)
@@ -175,16 +234,10 @@
 	return pools
 }
 
-func (s *Scheduler) placeStep(c *candidate, pool []*worker, now time.Time) []jobs.Command {
-	sites, workers := s.sites(c, pool, now)
-	demand := &plan.Demand{
-		Each:         c.step.Reserves(),
-		MaxPerWorker: c.step.MaxPerWorker,
-		NearRack:     c.step.DataRack,
-		OneRack:      c.step.SameRack,
-	}
-
-	chosen := plan.Spread(sites, demand, len(c.waiting), s.placer, s.avoid(c, pool, now))
+func (s *Scheduler) placeStep(c *candidate, p *pass) []jobs.Command {
+	sites, workers := s.sites(c, p)
+	chosen := plan.Spread(sites, c.demand(), len(c.waiting), s.placer,
+		s.avoid(c, p.pools[c.queue.Service], p.now))
 	if c.step.Gang && len(chosen) < len(c.waiting) {
 		return nil
 	}
@@ -243,32 +296,22 @@
 }
 
 // sites returns the workers on which the step may run now.
-func (s *Scheduler) sites(c *candidate, pool []*worker, now time.Time) ([]plan.Site, []*worker) {
+func (s *Scheduler) sites(c *candidate, p *pass) ([]plan.Site, []*worker) {
 	var (
 		sites   []plan.Site
 		workers []*worker
 	)
 
-	for _, w := range pool {
-		if !w.status.HasLabel(c.step.Label) || !c.step.Reserves().Fits(w.free()) {
+	for _, w := range p.pools[c.queue.Service] {
+		if !w.status.HasLabel(c.step.Label) || !c.step.Reserves().Fits(p.free(w)) {
 			continue
 		}
 
-		if _, valid := c.allows(w.status.ID, now); !valid {
+		if _, valid := c.allows(w.status.ID, p.now); !valid {
 			continue
 		}
 
-		sites = append(sites, plan.Site{
-			View: mill.WorkerView{
-				ID:       w.status.ID,
-				Rack:     w.status.Rack,
-				Capacity: w.status.Capacity,
-				Free:     w.free(),
-			},
-			Mine:  w.tasksOf(c.id),
-			Trial: w.record.OnTrial(),
-			Busy:  len(w.runs) > 0,
-		})
+		sites = append(sites, c.site(w, p.free(w)))
 		workers = append(workers, w)
 	}
 
--- a/internal/lead/step.go
+++ b/internal/lead/step.go
@@ -16,7 +16,9 @@
 
 // advice is what the advisor has said about one step.
 type advice struct {
-	asked   map[string]bool
+	asked map[string]bool
+	// named holds the workers that the open question is about.
+	named   []string
 	tickets map[string]ticket
 	asking  bool
 	// next is when another question may be asked after one that failed.
@@ -37,6 +39,8 @@
 	waiting []int
 	claim   plan.Claim
 	advice  *advice
+	// wanted names the workers with room for the step that the advisor should be asked about.
+	wanted []string
 }
 
 func countWaiting(candidates []*candidate) int {
@@ -51,6 +55,31 @@
 	return count
 }
 
+// demand returns what the step wants placed.
+func (c *candidate) demand() *plan.Demand {
+	return &plan.Demand{
+		Each:         c.step.Reserves(),
+		MaxPerWorker: c.step.MaxPerWorker,
+		NearRack:     c.step.DataRack,
+		OneRack:      c.step.SameRack,
+	}
+}
+
+// site returns a worker with some free room as a place for the step's tasks.
+func (c *candidate) site(w *worker, free mill.Resources) plan.Site {
+	return plan.Site{
+		View: mill.WorkerView{
+			ID:       w.status.ID,
+			Rack:     w.status.Rack,
+			Capacity: w.status.Capacity,
+			Free:     free,
+		},
+		Mine:  w.tasksOf(c.id),
+		Trial: w.record.OnTrial(),
+		Busy:  len(w.runs) > 0,
+	}
+}
+
 // suits reports whether the worker could run a task of the step if it were empty.
 func (c *candidate) suits(w *worker) bool {
 	return w.status.Service == c.queue.Service && w.status.HasLabel(c.step.Label) &&
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -26,9 +26,7 @@
 
 // mayChangeMembership reports whether the last change and an entry of this term are committed.
 func (n *Node) mayChangeMembership() bool {
-	term, ok := n.log.termAt(n.commit)
-
-	return ok && term == n.term && n.log.membershipIndex <= n.commit
+	return n.Current() && n.log.membershipIndex <= n.commit
 }
 
 // nextMembership returns the membership that should follow, if another one should.
--- a/internal/raft/membership_test.go
+++ b/internal/raft/membership_test.go
@@ -103,3 +103,47 @@
 	assert.Equal(t, len(w.leading()), 1)
 	assert.DeepEqual(t, w.voters(), w.names)
 }
+
+// TestLongLogAfterRestart restarts servers whose log is longer than what may be
+// outstanding. The new leader refuses entries at first, and must be known to be
+// current once it does not.
+func TestLongLogAfterRestart(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.rounds(healRounds)
+
+	for _, name := range w.names {
+		w.servers[name].node.limits.compact = 4 * maxOutstanding
+	}
+
+	leader := w.leading()[0]
+
+	for range 2 * maxOutstanding {
+		w.propose(leader)
+		w.round()
+	}
+
+	w.rounds(healRounds)
+
+	for _, name := range w.names {
+		w.stop(name)
+		w.start(name)
+	}
+
+	refused := false
+
+	for range 10 * healRounds {
+		w.round()
+
+		for _, name := range w.leading() {
+			node := w.servers[name].node
+			_, _, err := node.Propose(nil)
+			refused = refused || err != nil
+			assert.Assert(t, err == nil || !node.Current(), "a current leader refuses an entry: %v", err)
+			w.settle(w.servers[name])
+		}
+	}
+
+	assert.Assert(t, refused, "the log was too short to show anything")
+	assert.Equal(t, len(w.leading()), 1)
+	assert.Assert(t, w.servers[w.leading()[0]].node.Current())
+}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -191,6 +191,14 @@
 	return n.role == leader
 }
 
+// Current reports whether an entry of the server's term is committed: a leader then
+// knows all that earlier leaders have committed.
+func (n *Node) Current() bool {
+	term, ok := n.log.termAt(n.commit)
+
+	return ok && term == n.term
+}
+
 // Term returns the server's current term.
 func (n *Node) Term() uint64 {
 	return n.term
