--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -74,7 +74,7 @@
 		Job:       id,
 		Queue:     queue,
 		Work:      request.Work,
-		UnixMilli: time.Now().UnixMilli(),
+		UnixMilli: c.clocks.wallMilli(time.Now()),
 	}})
 	if err != nil {
 		return nil, err
@@ -237,6 +237,7 @@
 func (c *Core) follow(ctx context.Context, request *FollowRequest) (*FollowReply, error) {
 	if runner := c.runner.Load(); runner != nil && request.Advisor != "" {
 		runner.Caller(request.Advisor)
+		c.clocks.observe(request.Advisor, request.UnixMilli, time.Now())
 	}
 
 	timer := time.NewTimer(min(time.Duration(request.WaitMilli)*time.Millisecond, followWait))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,6 +54,7 @@
 	machine *machine
 	link    *Link
 	table   table
+	clocks  clocks
 	outbox  *drive.Outbox[News]
 	pool    *ants.Pool
 	placer  mill.Placer
@@ -297,6 +298,7 @@
 		Advise:  c.advise,
 		Propose: c.propose,
 		View:    c.machine.view,
+		Wall:    c.clocks.wallMilli,
 		Pool:    c.pool,
 	})
 
--- a/internal/core/link.go
+++ b/internal/core/link.go
@@ -88,6 +88,7 @@
 	reply, err := wire.Call[FollowRequest, FollowReply](limit, l.client, address, MethodFollow, &FollowRequest{
 		Version:   l.version(),
 		Advisor:   l.advisor,
+		UnixMilli: time.Now().UnixMilli(),
 		WaitMilli: followWait.Milliseconds(),
 	})
 	if err != nil {
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -65,6 +65,8 @@
 	Version uint64
 	// Advisor is the address at which the sender asks the advisor for the leader; "" for none.
 	Advisor string
+	// UnixMilli is the sender's time of day, in milliseconds since 1970.
+	UnixMilli int64
 	// WaitMilli is how long the answer may be held back.
 	WaitMilli int64
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -146,19 +146,48 @@
 	return step, &step.Tasks[id.Index]
 }
 
-// begin makes the state of an occurrence.
-func (j *Job) begin(number int) {
+// Due returns the occurrences that have begun and are not complete, and those that
+// are due by a time of day and have not begun yet. The caller must not change the job.
+func (j *Job) Due(wallMilli int64) map[int]*Occurrence {
+	due := make(map[int]*Occurrence, len(j.Occurrences))
+
+	for number, occurrence := range j.Occurrences {
+		if !occurrence.Complete() {
+			due[number] = occurrence
+		}
+	}
+
+	for number := range j.Work.Repeat.Times {
+		if j.Work.Repeat.DueUnixMilli(number) > wallMilli {
+			break
+		}
+
+		if _, begun := j.Occurrences[number]; !begun {
+			due[number] = j.fresh()
+		}
+	}
+
+	return due
+}
+
+// fresh returns the state of an occurrence that begins.
+func (j *Job) fresh() *Occurrence {
 	occurrence := &Occurrence{Steps: make([]Step, len(j.Work.Steps))}
 
 	for i := range j.Work.Steps {
 		occurrence.Steps[i].Tasks = make([]Task, j.Work.Steps[i].Count)
 	}
 
+	return occurrence
+}
+
+// begin makes the state of an occurrence.
+func (j *Job) begin(number int) {
 	if j.Occurrences == nil {
 		j.Occurrences = make(map[int]*Occurrence)
 	}
 
-	j.Occurrences[number] = occurrence
+	j.Occurrences[number] = j.fresh()
 }
 
 // shrink drops what is no longer needed once the job is over and nothing of it runs.
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -47,9 +47,7 @@
 		}
 	}
 
-	s.beginDue(job, wall)
-
-	for number, occurrence := range job.Occurrences {
+	for number, occurrence := range job.Due(wall) {
 		for index := range occurrence.Steps {
 			step := &occurrence.Steps[index]
 			if step.Done+step.Placed == len(step.Tasks) || !occurrence.Ready(&job.Work, index) {
@@ -75,9 +73,6 @@
 	return found
 }
 
-// beginDue is where occurrences that are due would begin; see occurrences.go.
-func (s *Scheduler) beginDue(*jobs.Job, int64) {}
-
 // waiting returns the tasks of a step that have no run. A gang waits as a whole.
 func (s *Scheduler) waiting(c *candidate) []int {
 	var waiting []int
@@ -108,7 +103,7 @@
 
 	received := c.job.UnixMilli
 	if c.job.Work.Repeat.Times > 0 {
-		received = c.job.Work.Repeat.FirstUnixMilli + int64(c.id.Occurrence)*c.job.Work.Repeat.Interval.Milliseconds()
+		received = c.job.Work.Repeat.DueUnixMilli(c.id.Occurrence)
 	}
 
 	objective := time.Duration(c.queue.Stretch*float64(whole)) + c.queue.Objective
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -34,6 +34,8 @@
 	Propose func(commands []jobs.Command, done func(results []jobs.Result, err error))
 	// View calls a function with the state, which must not change meanwhile.
 	View func(read func(state *jobs.State))
+	// Wall returns the time of day in milliseconds since 1970, by several clocks.
+	Wall func(now time.Time) int64
 	// Pool runs what waits for answers.
 	Pool *ants.Pool
 }
@@ -86,8 +88,10 @@
 
 		var actions Actions
 
+		wall := r.outside.Wall(now)
+
 		r.outside.View(func(state *jobs.State) {
-			actions = r.scheduler.Next(now, now.UnixMilli(), state)
+			actions = r.scheduler.Next(now, wall, state)
 		})
 		r.perform(&actions)
 		r.logEvents()
--- a/pkg/mill/workload.go
+++ b/pkg/mill/workload.go
@@ -36,6 +36,11 @@
 	Interval time.Duration `json:"interval,omitempty"`
 }
 
+// DueUnixMilli returns when an occurrence is due, in milliseconds since 1970.
+func (r *Repeat) DueUnixMilli(occurrence int) int64 {
+	return r.FirstUnixMilli + int64(occurrence)*r.Interval.Milliseconds()
+}
+
 // Step is a set of like tasks.
 type Step struct {
 	// Count is the number of tasks.
