Refuse at once when no leader has been heard for longer than a failover takes

plan.WaitForLeader lets calls wait for two seconds after the leader was heard last, and refuses later ones at once with Retry-After 1 s. A call that may have reached a leader still waits, since its outcome is open.

Ruled out: a shorter wait; a change of leaders takes 1.0 to 1.5 s.

--- a/internal/core/link.go
+++ b/internal/core/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -41,7 +42,7 @@
 // NewLink returns a link that begins at the seeds' addresses; advisor is the
 // address at which this process asks the advisor for others, or "".
 func NewLink(client *wire.Client, seeds []string, advisor string) *Link {
-	return &Link{client: client, seeds: seeds, advisor: advisor}
+	return &Link{client: client, seeds: seeds, advisor: advisor, heard: time.Now()}
 }
 
 // SetSeeds replaces the addresses to begin at.
@@ -71,7 +72,7 @@
 	return l.setup
 }
 
-// Heard returns when the leader was heard last.
+// Heard returns when the leader was heard last, or when the link was made.
 func (l *Link) Heard() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -79,6 +80,11 @@
 	return l.heard
 }
 
+// outage returns for how long no leader has been heard.
+func (l *Link) outage() time.Duration {
+	return time.Since(l.Heard())
+}
+
 func (l *Link) follow(ctx context.Context) error {
 	address, _ := l.target()
 
@@ -198,6 +204,10 @@
 			return nil, doubtful, merry.Prepend(mill.ErrUnavailable, "no leader answered in time", merry.NoCaptureStack())
 		}
 
+		if !doubtful && !plan.WaitForLeader(l.outage()) {
+			return nil, false, merry.Prepend(mill.ErrUnavailable, "there is no leader", merry.NoCaptureStack())
+		}
+
 		if term > 0 {
 			continue
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cranberrymill/cranberrymill/internal/core"
+	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -105,7 +106,7 @@
 	case err != nil && doubtful:
 		return mill.Receipt{Verdict: mill.VerdictUnknown, Reason: err.Error()}
 	case err != nil:
-		return mill.Receipt{Verdict: mill.VerdictRefused, Reason: err.Error()}
+		return mill.Receipt{Verdict: mill.VerdictRefused, Reason: err.Error(), RetryAfter: plan.RetryAfterOutage()}
 	case doubtful && reply.Receipt.Verdict == mill.VerdictRefused:
 		return mill.Receipt{Verdict: mill.VerdictUnknown, Reason: reply.Receipt.Reason}
 	default:
