Spare the look at each worker on a full pool, and clear a worker for a large task

A step that fits no worker's free room is passed over at once; where it is the first of its service and takes over half of a worker, one worker is kept free of small tasks for it.

Ruled out: the pool's size (room was free), the advisor (quick questions were answered).

--- a/internal/core/link.go
+++ b/internal/core/link.go
@@ -200,12 +200,8 @@
 			doubtful = doubtful || !harmless(err)
 		}
 
-		if ctx.Err() != nil {
-			return nil, doubtful, merry.Prepend(mill.ErrUnavailable, "no leader answered in time", merry.NoCaptureStack())
-		}
-
-		if !doubtful && !plan.WaitForLeader(l.outage()) {
-			return nil, false, merry.Prepend(mill.ErrUnavailable, "there is no leader", merry.NoCaptureStack())
+		if err = l.givenUp(ctx, doubtful); err != nil {
+			return nil, doubtful, err
 		}
 
 		if term > 0 {
@@ -218,6 +214,19 @@
 	}
 }
 
+// givenUp returns why a call should not be tried again, or nil. One that a leader may
+// have received is tried until its limit, since its outcome is open.
+func (l *Link) givenUp(ctx context.Context, doubtful bool) error {
+	switch {
+	case ctx.Err() != nil:
+		return merry.Prepend(mill.ErrUnavailable, "no leader answered in time", merry.NoCaptureStack())
+	case !doubtful && !plan.WaitForLeader(l.outage()):
+		return merry.Prepend(mill.ErrUnavailable, "there is no leader", merry.NoCaptureStack())
+	default:
+		return nil
+	}
+}
+
 // search asks a process who leads.
 func (l *Link) search(ctx context.Context, address string) error {
 	limit, cancel := context.WithTimeout(ctx, attemptTime)
--- a/internal/lead/fuzz_test.go
+++ b/internal/lead/fuzz_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/cranberrymill/cranberrymill/internal/seeds"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -170,3 +171,22 @@
 		late:       rapid.SampledFrom([]int{0, 0, 10, 30}).Draw(t, "late"),
 	}
 }
+
+// TestFuzzCalm draws jobs and cancellations without any fault, and expects that no
+// member of a gang ever waits in vain for the others.
+func TestFuzzCalm(t *testing.T) {
+	seeds.Checks(t, 60)
+
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, t, 6)
+		draw := &drawer{w: w}
+
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": draw.submit,
+			"cancel": draw.cancel,
+			"pass":   draw.pass,
+		})
+
+		w.settle(60 * time.Second)
+	})
+}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -141,6 +141,28 @@
 	pools map[string][]*worker
 	// kept is the room that is kept for steps which come first and wait for the advisor.
 	kept map[*worker]mill.Resources
+	// most is the most free room of any worker, by service and dimension, at the pass's begin.
+	most map[string]mill.Resources
+	// cleared names the services in which a worker is being cleared for a large task.
+	cleared map[string]bool
+}
+
+// hasRoom reports whether a task of the step could fit on some worker. On a full
+// pool it spares the look at each worker for each of hundreds of steps.
+func (p *pass) hasRoom(c *candidate) bool {
+	most, ok := p.most[c.queue.Service]
+	if !ok {
+		for _, w := range p.pools[c.queue.Service] {
+			free := w.free()
+			most.MilliCores = max(most.MilliCores, free.MilliCores)
+			most.MemoryMiB = max(most.MemoryMiB, free.MemoryMiB)
+			most.Accelerators = max(most.Accelerators, free.Accelerators)
+		}
+
+		p.most[c.queue.Service] = most
+	}
+
+	return c.step.Reserves().Fits(most)
 }
 
 func (p *pass) free(w *worker) mill.Resources {
@@ -150,14 +172,30 @@
 // place returns the placements that are to be committed, and claims their room.
 func (s *Scheduler) place(candidates []*candidate, now time.Time) []jobs.Command {
 	commands := make([]jobs.Command, 0, len(candidates))
-	p := &pass{now: now, pools: s.pools(now), kept: make(map[*worker]mill.Resources)}
+	p := &pass{
+		now:     now,
+		pools:   s.pools(now),
+		kept:    make(map[*worker]mill.Resources),
+		most:    make(map[string]mill.Resources),
+		cleared: make(map[string]bool),
+	}
 
 	for _, c := range candidates {
+		if !p.hasRoom(c) {
+			s.clear(c, p)
+
+			continue
+		}
+
 		commands = append(commands, s.placeStep(c, p)...)
 
 		if c.advice != nil && len(c.waiting) > 0 {
 			s.keep(c, p)
 		}
+
+		if len(c.waiting) > 0 && len(c.wanted) == 0 {
+			s.clear(c, p)
+		}
 	}
 
 	return commands
@@ -261,6 +299,10 @@
 // avoid keeps a task away from workers on which it has failed, unless it has failed
 // on every worker that may run it or has waited for another one in vain.
 func (s *Scheduler) avoid(c *candidate, pool []*worker, now time.Time) func(index int, worker string) bool {
+	if !c.hasFailed() {
+		return nil
+	}
+
 	allowed := make([]string, 0, len(pool))
 
 	for _, w := range pool {
--- a/internal/lead/step.go
+++ b/internal/lead/step.go
@@ -55,6 +55,17 @@
 	return count
 }
 
+// hasFailed reports whether a run of a waiting task has failed.
+func (c *candidate) hasFailed() bool {
+	for _, index := range c.waiting {
+		if len(c.state.Tasks[index].FailedOn) > 0 {
+			return true
+		}
+	}
+
+	return false
+}
+
 // demand returns what the step wants placed.
 func (c *candidate) demand() *plan.Demand {
 	return &plan.Demand{
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -86,6 +86,9 @@
 	poison    map[string]bool
 	calm      bool
 	choices   uint64
+	// asks counts the questions to the advisor, and askedFor those about each job.
+	asks     int
+	askedFor map[string]int
 }
 
 func newWorld(t failer, draw *rapid.T, executors int) *world {
@@ -98,6 +101,7 @@
 		doneNoted: make(map[mill.TaskID]bool),
 		failures:  make(map[mill.TaskID]int),
 		poison:    make(map[string]bool),
+		askedFor:  make(map[string]int),
 		calm:      true,
 	}
 
@@ -440,6 +444,9 @@
 
 // sendAsk lets the advisor allow about half of the executors, and always two that hold any gang.
 func (w *world) sendAsk(l *leader, ask *Ask) {
+	w.asks++
+	w.askedFor[ask.Step.Job]++
+
 	if w.chance("advisor silent", w.faults.lostAnswer) {
 		w.after(ask.Limit, func() { l.scheduler.Advised(ask, nil, w.now) })
 
@@ -476,6 +483,10 @@
 	w.state.Apply(&jobs.Command{Submit: &jobs.Submit{Job: id, Queue: queue, Work: work, UnixMilli: w.now.UnixMilli()}})
 }
 
+func (w *world) configure(setup *mill.Setup) {
+	w.state.Apply(&jobs.Command{Setup: setup})
+}
+
 func (w *world) cancel(id string) {
 	w.state.Apply(&jobs.Command{Cancel: &jobs.Cancel{Job: id}})
 	w.specs[id].canceled = w.now
