Keep five voters five, and make room for gangs of whole workers

Voters are added before another silent one is removed, and a learner is ready when it has all but what is on its way. A step that waits for advice first keeps workers that are known to be allowed; a starving gang has as many workers cleared as it has members.

Ruled out: damaged folders (all six processes started), late joining (two had rejoined by 20 s).

Before: TestTwoSilentOfFive ends with 3 voters, TestLearnerIsReadyUnderLoad and TestGangOfWholeWorkersStarts fail.

--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -9,7 +9,6 @@
 	Cancel *Cancel     `cbor:"3,keyasint,omitempty"`
 	Place  *Place      `cbor:"4,keyasint,omitempty"`
 	End    *End        `cbor:"5,keyasint,omitempty"`
-	Forget *Forget     `cbor:"6,keyasint,omitempty"`
 }
 
 // Batch is what one entry of the replicated log holds.
@@ -46,11 +45,6 @@
 	Checkpoint string        `cbor:"4,keyasint,omitempty"`
 }
 
-// Forget drops jobs that have been over for long enough.
-type Forget struct {
-	Jobs []string `cbor:"1,keyasint"`
-}
-
 // Result is what a command came to.
 type Result uint8
 
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -68,8 +68,6 @@
 		return s.place(command.Place)
 	case command.End != nil:
 		return s.end(command.End)
-	case command.Forget != nil:
-		return s.forget(command.Forget)
 	default:
 		return ResultObsolete
 	}
@@ -328,23 +326,6 @@
 	delete(s.open, job.ID)
 }
 
-func (s *State) forget(forget *Forget) Result {
-	dropped := make(map[string]bool, len(forget.Jobs))
-
-	for _, id := range forget.Jobs {
-		job, ok := s.content.Jobs[id]
-		if ok && job.Over() && job.Placed == 0 {
-			s.drop(id)
-
-			dropped[id] = true
-		}
-	}
-
-	s.content.Over = slices.DeleteFunc(s.content.Over, func(id string) bool { return dropped[id] })
-
-	return ResultApplied
-}
-
 func (s *State) drop(id string) {
 	delete(s.content.Jobs, id)
 	delete(s.open, id)
--- a/internal/lead/actions.go
+++ b/internal/lead/actions.go
@@ -15,7 +15,6 @@
 	Stops    []Stop
 	Renews   []Renew
 	Asks     []Ask
-	Paces    []Pace
 }
 
 // Start is an order to start a run.
@@ -37,12 +36,6 @@
 	Order mill.RenewOrder
 }
 
-// Pace is an order to limit a task.
-type Pace struct {
-	To    mill.WorkerRef
-	Order mill.PaceOrder
-}
-
 // Ask is a question to the advisor, sent from one caller's address.
 type Ask struct {
 	Caller  string
--- a/internal/lead/ask_test.go
+++ b/internal/lead/ask_test.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -78,3 +79,26 @@
 	w.run(worldStep)
 	assert.Equal(t, w.askedFor["quick"], 1)
 }
+
+// TestGangOfWholeWorkersStarts plays a gang that needs two whole workers, both of
+// which small tasks keep filling, and expects it to start.
+func TestGangOfWholeWorkersStarts(t *testing.T) {
+	w := newWorld(t, nil, 12)
+	w.submit("small0", "free", time.Second, oneAccelerator())
+	w.run(200 * time.Millisecond)
+
+	gang := wholeWorker()
+	gang.Count, gang.Gang = 2, true
+	w.submit("gang", "advised", time.Second, gang)
+
+	for index := range 60 {
+		for more := range 4 {
+			w.submit(fmt.Sprintf("small%d-%d", index, more), "free", 600*time.Millisecond, oneAccelerator())
+		}
+
+		w.run(100 * time.Millisecond)
+	}
+
+	job, _ := w.state.Job("gang")
+	assert.Assert(t, job.Started, "the gang never got two whole workers")
+}
--- a/internal/lead/bounds.go
+++ b/internal/lead/bounds.go
@@ -6,16 +6,8 @@
 type Bounds struct {
 	// MaxLease is the longest lease that any scheduler may have given.
 	MaxLease time.Duration
-	// StopTime is how long a worker takes to stop a run.
-	StopTime time.Duration
 	// GangWait is how long a worker lets members of a gang wait for the others.
 	GangWait time.Duration
-	// FarFactor is how much longer a task takes away from its data or its gang.
-	FarFactor float64
-	// EarlyBy is how much before its time an occurrence may start.
-	EarlyBy time.Duration
-	// HarmWait is how long a serving task may miss its target because of others.
-	HarmWait time.Duration
 }
 
 // usualLease is how long a worker keeps its runs without hearing from the
--- a/internal/lead/clear.go
+++ b/internal/lead/clear.go
@@ -1,42 +1,63 @@
 package lead
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
-// clear keeps small tasks away from one worker for a large task that comes first and
-// fits nowhere: otherwise small tasks would fill each gap, and it would never start.
-// It answers pools in which tasks that need a whole worker compete with small ones.
-// One worker a service is cleared at a time, since its room is idle meanwhile.
+// clearedShare is the part of a pool, one worker in that many, that may be cleared at
+// a time: its room is idle meanwhile.
+const clearedShare = 4
+
+// clear keeps small tasks away from some workers for large tasks that come first and
+// fit nowhere: otherwise small tasks would fill each gap, and they would never start.
+// It answers pools in which tasks that need a whole worker, or a gang of them, compete
+// with small ones.
 func (s *Scheduler) clear(c *candidate, p *pass) {
-	if p.cleared[c.queue.Service] {
+	pool := p.pools[c.queue.Service]
+	left := max(1, len(pool)/clearedShare) - p.cleared[c.queue.Service]
+
+	count := 1
+	if c.step.Gang {
+		count = len(c.waiting)
+	}
+
+	if count > left || !c.claim.Starving() {
 		return
 	}
 
-	var (
-		best *worker
-		soon time.Duration
-	)
+	for _, w := range s.soonest(c, p, pool, count) {
+		p.cleared[c.queue.Service]++
+		p.kept[w] = p.kept[w].Add(c.step.Reserves())
+	}
+}
+
+// soonest returns the workers that may be cleared for a step and have room for it first.
+func (s *Scheduler) soonest(c *candidate, p *pass, pool []*worker, count int) []*worker {
+	type option struct {
+		worker *worker
+		wait   time.Duration
+	}
 
-	for _, w := range p.pools[c.queue.Service] {
-		if !s.mayClear(c, w) {
-			continue
-		}
+	var options []option
 
-		if wait := s.untilRoom(w, c.step.Reserves(), p.now); best == nil || wait < soon {
-			best, soon = w, wait
+	for _, w := range pool {
+		if _, kept := p.kept[w]; !kept && s.mayClear(c, w) {
+			options = append(options, option{worker: w, wait: s.untilRoom(w, c.step.Reserves(), p.now)})
 		}
 	}
 
-	if best == nil {
-		return
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.wait, b.wait) })
+
+	workers := make([]*worker, 0, count)
+	for _, o := range options[:min(count, len(options))] {
+		workers = append(workers, o.worker)
 	}
 
-	p.cleared[c.queue.Service] = true
-	p.kept[best] = p.kept[best].Add(c.step.Reserves())
+	return workers
 }
 
 // mayClear reports whether a worker may be cleared for a step: the task takes most of
@@ -46,9 +67,12 @@
 		return false
 	}
 
-	allowed, _ := c.allows(w.status.ID, s.began)
+	if allowed, _ := c.allows(w.status.ID, s.began); allowed {
+		return true
+	}
 
-	return allowed || c.advice != nil && !c.advice.asked[w.status.ID]
+	// As long as too few are known to be allowed, any may turn out to be.
+	return len(c.advice.tickets) < len(c.waiting) && !c.advice.asked[w.status.ID]
 }
 
 // large reports whether a task takes over half of a worker in some dimension.
@@ -64,7 +88,7 @@
 		runs = append(runs, r)
 	}
 
-	slices.SortFunc(runs, func(a, b *run) int { return int(s.left(a, now) - s.left(b, now)) })
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(s.left(a, now), s.left(b, now)) })
 
 	free := w.free()
 
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -143,8 +143,8 @@
 	kept map[*worker]mill.Resources
 	// most is the most free room of any worker, by service and dimension, at the pass's begin.
 	most map[string]mill.Resources
-	// cleared names the services in which a worker is being cleared for a large task.
-	cleared map[string]bool
+	// cleared counts the workers that are being cleared for large tasks, by service.
+	cleared map[string]int
 }
 
 // hasRoom reports whether a task of the step could fit on some worker. On a full
@@ -177,7 +177,7 @@
 		pools:   s.pools(now),
 		kept:    make(map[*worker]mill.Resources),
 		most:    make(map[string]mill.Resources),
-		cleared: make(map[string]bool),
+		cleared: make(map[string]int),
 	}
 
 	for _, c := range candidates {
@@ -202,15 +202,25 @@
 }
 
 // keep keeps room for a step that could run if the advisor allows it, so that
-// steps which come later do not take it meanwhile, and names the workers to ask about.
+// steps which come later do not take it meanwhile, and names the workers to ask
+// about: those that are known to be allowed, if they suffice, since they need no luck.
 func (s *Scheduler) keep(c *candidate, p *pass) {
+	if s.keepOn(c, p, s.mayKeepAllowed) {
+		return
+	}
+
+	s.keepOn(c, p, s.mayKeep)
+}
+
+// keepOn keeps room on workers of a choice, and reports whether the step fits on them.
+func (s *Scheduler) keepOn(c *candidate, p *pass, may func(c *candidate, w *worker, p *pass) bool) bool {
 	var (
 		sites   []plan.Site
 		workers []*worker
 	)
 
 	for _, w := range p.pools[c.queue.Service] {
-		if s.mayKeep(c, w, p) {
+		if c.suits(w) && c.step.Reserves().Fits(p.free(w)) && may(c, w, p) {
 			sites = append(sites, c.site(w, p.free(w)))
 			workers = append(workers, w)
 		}
@@ -218,7 +228,7 @@
 
 	chosen := plan.Spread(sites, c.demand(), len(c.waiting), s.placer, nil)
 	if len(chosen) == 0 || (c.step.Gang && len(chosen) < len(c.waiting)) {
-		return
+		return false
 	}
 
 	for _, at := range chosen {
@@ -226,15 +236,20 @@
 	}
 
 	c.wanted = names(workers)
+
+	return true
 }
 
-// mayKeep reports whether room on a worker may be kept for a step: the advisor has
-// not refused the worker, and is not being asked about others.
-func (s *Scheduler) mayKeep(c *candidate, w *worker, p *pass) bool {
-	if !c.suits(w) || !c.step.Reserves().Fits(p.free(w)) {
-		return false
-	}
+// mayKeepAllowed reports whether the advisor is known to allow the worker.
+func (s *Scheduler) mayKeepAllowed(c *candidate, w *worker, p *pass) bool {
+	allowed, valid := c.allows(w.status.ID, p.now)
 
+	return allowed && (!valid || c.step.Gang) && (!c.advice.asking || slices.Contains(c.advice.named, w.status.ID))
+}
+
+// mayKeep reports whether the advisor may allow the worker: it has not refused it, and
+// is not being asked about others.
+func (s *Scheduler) mayKeep(c *candidate, w *worker, p *pass) bool {
 	if c.advice.asking {
 		return slices.Contains(c.advice.named, w.status.ID)
 	}
--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -30,6 +30,16 @@
 	return c.Objective - c.Age - c.Remaining
 }
 
+// starvingShare is the part of its objective, one in that many, that a job may wait for
+// room before others make room for it.
+const starvingShare = 4
+
+// Starving reports whether the step should get room at the cost of room that is idle
+// meanwhile: it has waited long enough for a gap to open by itself.
+func (c *Claim) Starving() bool {
+	return c.Age > c.Objective/starvingShare
+}
+
 // class sorts claims by what starting them now is worth.
 func (c *Claim) class() int {
 	switch {
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -38,18 +38,21 @@
 		return members.Without(lost), true
 	}
 
-	if silent, ok := n.silentVoter(); ok && n.canSpare(len(ready)) {
-		return members.Without(silent), true
-	}
-
+	// Voters are added before another silent one is removed: each that is missing
+	// is a loss less that the group bears.
 	if len(ready) > 0 && n.wantsVoter(len(ready)) {
 		return members.With(ready[0]), true
 	}
 
+	if silent, ok := n.silentVoter(); ok && n.canSpare(len(ready)) {
+		return members.Without(silent), true
+	}
+
 	return Membership{}, false
 }
 
-// readyLearners returns the learners that have the log and were heard a moment ago.
+// readyLearners returns the learners that have the log, but for what is on its way,
+// and were heard a moment ago.
 func (n *Node) readyLearners() []Server {
 	var ready []Server
 
@@ -63,7 +66,8 @@
 }
 
 func (n *Node) admissible(p *progress) bool {
-	return p.match >= n.commit && p.quiet <= heartbeatTicks && p.server.VM != n.self.VM
+	// Under load the commit is always a round trip ahead of what a learner acknowledged.
+	return p.match+entriesAtOnce >= n.commit && p.match > 0 && p.quiet <= heartbeatTicks && p.server.VM != n.self.VM
 }
 
 // replaced returns a voter whose VM has come back without its disk: a VM has one vote.
--- a/internal/raft/membership_test.go
+++ b/internal/raft/membership_test.go
@@ -147,3 +147,51 @@
 	assert.Equal(t, len(w.leading()), 1)
 	assert.Assert(t, w.servers[w.leading()[0]].node.Current())
 }
+
+// TestLearnerIsReadyUnderLoad expects a learner to be ready although the commit is
+// a round trip ahead of what it has acknowledged, as it always is under load, and
+// one that has nothing yet not to be.
+func TestLearnerIsReadyUnderLoad(t *testing.T) {
+	w := newWorld(t, "a", "b", "c", "d")
+	w.rounds(healRounds)
+
+	node := w.servers[w.leading()[0]].node
+
+	for range 20 {
+		w.propose(w.leading()[0])
+		w.round()
+	}
+
+	assert.Equal(t, len(node.readyLearners()), 1)
+
+	for _, p := range node.progress.list {
+		if !node.log.membership.Has(p.server.Identity) {
+			p.match = node.commit - 3
+			p.quiet = 0
+			assert.Equal(t, len(node.readyLearners()), 1, "three entries are on their way")
+
+			p.match = 0
+			assert.Equal(t, len(node.readyLearners()), 0, "it has nothing yet")
+		}
+	}
+}
+
+// TestTwoSilentOfFive expects a group of five that loses two servers for a while to
+// stay one of five: the learner takes one place, and the other one is kept.
+func TestTwoSilentOfFive(t *testing.T) {
+	w := newWorld(t, "a", "b", "c", "d", "e", "f")
+	w.rounds(4 * healRounds)
+
+	stopped := 0
+
+	for _, name := range w.voters() {
+		if name != w.leading()[0] && stopped < 2 {
+			w.stop(name)
+
+			stopped++
+		}
+	}
+
+	w.rounds(healRounds + 6*silentTicks)
+	assert.Equal(t, len(w.voters()), 5, "%v", w.voters())
+}
--- a/pkg/mill/cluster.go
+++ b/pkg/mill/cluster.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// MaxAdvisedWorkers bounds the workers that one question to an advisor may name.
-const MaxAdvisedWorkers = 100
-
 // JobState is where a job stands.
 type JobState string
 
