Admit servers that do not know the leader, and pass reports on without a log

Ruled out: silent workers (no order was left unanswered), held-back workers (constant from the first second of the term).

Before: TestLearnerFindsLeaderThroughFollower fails.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -317,12 +318,26 @@
 	return true
 }
 
+// others returns the other processes of the core: by the log, or by what the leader
+// says as long as this process has no log.
+func (c *Core) others() []string {
+	var addresses []string
+
+	for _, server := range c.host.Role().Members.Servers {
+		addresses = append(addresses, server.Address)
+	}
+
+	if len(addresses) == 0 {
+		addresses = c.link.addresses()
+	}
+
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == c.config.Address })
+}
+
 // tell passes news on to the other processes of the core.
 func (c *Core) tell(news News) {
-	for _, server := range c.host.Role().Members.Servers {
-		if server.Address != c.config.Address {
-			c.outbox.Send(server.Address, news)
-		}
+	for _, address := range c.others() {
+		c.outbox.Send(address, news)
 	}
 }
 
--- a/internal/core/link.go
+++ b/internal/core/link.go
@@ -156,7 +156,7 @@
 		return l.leader, l.term
 	}
 
-	known := append(slices.Clone(l.members), l.seeds...)
+	known := l.known()
 	if len(known) == 0 {
 		return "", 0
 	}
@@ -166,6 +166,18 @@
 	return known[l.turn%len(known)], 0
 }
 
+// addresses returns the processes of the core that this one has heard of.
+func (l *Link) addresses() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.known()
+}
+
+func (l *Link) known() []string {
+	return append(slices.Clone(l.members), l.seeds...)
+}
+
 // lost takes note that the process at the address did not serve a call.
 func (l *Link) lost(address string) {
 	l.mu.Lock()
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -149,8 +149,27 @@
 	}
 }
 
+// forwardLearn passes a request for admission on to the leader, which the sender may
+// not know. A request that was passed on already goes no further.
+func (n *Node) forwardLearn(message *Message) {
+	if message.To != "" || n.leader.Identity == "" || n.leader.Identity == n.self.Identity {
+		return
+	}
+
+	forwarded := *message
+	forwarded.To = n.leader.Identity
+	forwarded.Address = n.leader.Address
+	n.out.Early = append(n.out.Early, forwarded)
+}
+
 func (n *Node) stepLearn(message *Message) {
-	if n.role != leader || n.progress.find(message.From.Identity) != nil {
+	if n.role != leader {
+		n.forwardLearn(message)
+
+		return
+	}
+
+	if n.progress.find(message.From.Identity) != nil {
 		return
 	}
 
--- a/internal/raft/membership_test.go
+++ b/internal/raft/membership_test.go
@@ -195,3 +195,27 @@
 	w.rounds(healRounds + 6*silentTicks)
 	assert.Equal(t, len(w.voters()), 5, "%v", w.voters())
 }
+
+// TestLearnerFindsLeaderThroughFollower expects a server without a log to be admitted
+// when the only server it knows is not the leader.
+func TestLearnerFindsLeaderThroughFollower(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.rounds(healRounds)
+
+	var followers []string
+
+	for _, name := range w.names {
+		if name != w.leading()[0] {
+			followers = append(followers, name)
+		}
+	}
+
+	lost, known := followers[0], followers[1]
+	w.loseDisk(lost)
+	w.start(lost)
+	w.servers[lost].node.SetPeers([]Server{{VM: known, Address: known}})
+	w.rounds(4 * healRounds)
+
+	membership := w.servers[w.leading()[0]].node.Membership()
+	assert.Assert(t, membership.Has(w.servers[lost].disk.Identity()), "%v", membership.Servers)
+}
