Answer an accepted change once the entry that answers has it in force

The reply was sent when the change was committed, the view follows by a watch.

Before: the test can fail under load (seen once, /apply answered before the view).

--- a/internal/ctrl/watcher.go
+++ b/internal/ctrl/watcher.go
@@ -62,6 +62,24 @@
 	return w.changed
 }
 
+// AwaitVersion waits until a view of the version or a later one is seen, or the
+// context ends, and reports which it was.
+func (w *Watcher) AwaitVersion(ctx context.Context, version uint64) bool {
+	for {
+		changed := w.Changed()
+
+		if w.View().Version >= version {
+			return true
+		}
+
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // Propose commits a command through the first voter that can.
 func (w *Watcher) Propose(ctx context.Context, command *Command) (*Verdict, error) {
 	last := mill.ErrUnavailable
--- a/internal/entry/config_api.go
+++ b/internal/entry/config_api.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/phuslu/log"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cranberrymill/cranberrymill/internal/conf"
@@ -120,6 +121,11 @@
 		return
 	}
 
+	// An operator who reads at the entry that has answered expects to see the change.
+	if verdict.Accepted && !e.control.AwaitVersion(limit, verdict.Version) {
+		log.Warn().Uint64("version", verdict.Version).Msg("an accepted change is not in force here yet")
+	}
+
 	status := fasthttp.StatusOK
 	if !verdict.Accepted {
 		status = fasthttp.StatusConflict
