Wait in one place, and remove what nothing calls

Cause: waiting for a time or the context's end stood in five places, four of them new: control log, core, scheduler's runner, group, adapter. An accessor of jobs and a switch of the scheduler's test world had no caller.

drive.Pause serves all. Behavior is the same.

Ruled out: sharing the enum's names and the doubled imports that the list of pairs shows; these are alike in shape only.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -318,7 +318,7 @@
 func (c *Core) callHere(ctx context.Context, runner *lead.Runner) {
 	for ctx.Err() == nil {
 		runner.Caller(c.config.Address)
-		pause(ctx, followWait)
+		drive.Pause(ctx, followWait)
 	}
 }
 
--- a/internal/core/link.go
+++ b/internal/core/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/cranberrymill/cranberrymill/internal/drive"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
@@ -57,7 +58,7 @@
 func (l *Link) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if err := l.follow(ctx); err != nil {
-			pause(ctx, searchPause)
+			drive.Pause(ctx, searchPause)
 		}
 	}
 
@@ -221,7 +222,7 @@
 		}
 
 		if err = l.search(ctx, address); err != nil {
-			pause(ctx, searchPause)
+			drive.Pause(ctx, searchPause)
 		}
 	}
 }
@@ -278,10 +279,3 @@
 func harmless(err error) bool {
 	return errors.Is(err, mill.ErrUnreachable) || errors.Is(err, mill.ErrNotPrimary) || errors.Is(err, mill.ErrFull)
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
-}
--- a/internal/ctrl/watcher.go
+++ b/internal/ctrl/watcher.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cranberrymill/cranberrymill/internal/drive"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -43,7 +44,7 @@
 
 		at++
 
-		pause(ctx, watchPause)
+		drive.Pause(ctx, watchPause)
 	}
 
 	return nil
@@ -94,7 +95,7 @@
 			last = err
 		}
 
-		pause(ctx, watchPause)
+		drive.Pause(ctx, watchPause)
 	}
 
 	return nil, last
@@ -170,13 +171,3 @@
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -123,10 +123,7 @@
 	}
 
 	for h.role.Load().Leader.Identity == h.config.Self.Identity && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(TickTime):
-		}
+		drive.Pause(ctx, TickTime)
 	}
 }
 
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -126,11 +126,6 @@
 	return j.Outcome != ""
 }
 
-// Occurrence returns the state of an occurrence, or nil when it has not begun or is complete.
-func (j *Job) Occurrence(number int) *Occurrence {
-	return j.Occurrences[number]
-}
-
 // Task returns a task's step and state, or nil when the job holds no such task.
 func (j *Job) Task(id mill.TaskID) (*Step, *Task) {
 	occurrence := j.Occurrences[id.Occurrence]
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -7,6 +7,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/phuslu/log"
 
+	"github.com/cranberrymill/cranberrymill/internal/drive"
 	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/internal/ring"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
@@ -96,7 +97,7 @@
 		r.perform(&actions)
 		r.logEvents()
 		r.logSummary(now)
-		r.pause()
+		drive.Pause(r.context, planPause)
 	}
 }
 
@@ -116,13 +117,6 @@
 	}
 }
 
-func (r *Runner) pause() {
-	select {
-	case <-time.After(planPause):
-	case <-r.context.Done():
-	}
-}
-
 func (r *Runner) perform(actions *Actions) {
 	if commands := actions.Commands; len(commands) > 0 {
 		r.outside.Propose(commands, func(results []jobs.Result, err error) {
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -20,8 +20,6 @@
 	seeds.Exit(m.Run, 400)
 }
 
-const debugWorld = false
-
 // worldStep is the grain of the world's time.
 const worldStep = 10 * time.Millisecond
 
@@ -316,11 +314,7 @@
 	l.scheduler.Caller("there", w.now)
 
 	actions := l.scheduler.Next(w.now, w.now.UnixMilli(), w.state)
-	for _, e := range l.scheduler.TakeEvents() {
-		if debugWorld {
-			fmt.Println(w.age(), l.term, e)
-		}
-	}
+	l.scheduler.TakeEvents()
 
 	sortActions(&actions)
 
