Send urgent work to fast workers, and learn how slow each worker is

Cause: workers of one pool take up to 1.6 times as long as others (0.80 to 1.25 by what runs of one step took), and a step of the urgent queue has half of its chain to spare.

TestUrgentWorkGetsFastWorkers plays both choices.

--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -290,6 +290,15 @@
 	return commands
 }
 
+// learn takes note of what a whole run took.
+func (s *Scheduler) learn(r *run, took time.Duration) {
+	if s.estimates.Known(r.queue) {
+		r.worker.slowness.Learn(took, s.estimates.Correct(r.queue, r.step.Estimate))
+	}
+
+	s.estimates.Learn(r.queue, took, r.step.Estimate)
+}
+
 // judge keeps the evidence on a worker.
 func (s *Scheduler) judge(e ended, now time.Time) {
 	record := &e.run.worker.record
@@ -300,7 +309,7 @@
 		s.rates.Learn(e.run.queue, false)
 
 		if !e.run.started.IsZero() && e.run.resume == "" {
-			s.estimates.Learn(e.run.queue, now.Sub(e.run.started), e.run.step.Estimate)
+			s.learn(e.run, now.Sub(e.run.started))
 		}
 	case mill.EndFailed:
 		// A task that has failed elsewhere says nothing about this worker.
--- a/internal/lead/step.go
+++ b/internal/lead/step.go
@@ -73,6 +73,7 @@
 		MaxPerWorker: c.step.MaxPerWorker,
 		NearRack:     c.step.DataRack,
 		OneRack:      c.step.SameRack,
+		Hurry:        c.claim.Hurry(),
 	}
 }
 
@@ -85,9 +86,10 @@
 			Capacity: w.status.Capacity,
 			Free:     free,
 		},
-		Mine:  w.tasksOf(c.id),
-		Trial: w.record.OnTrial(),
-		Busy:  len(w.runs) > 0,
+		Mine:     w.tasksOf(c.id),
+		Trial:    w.record.OnTrial(),
+		Busy:     len(w.runs) > 0,
+		Slowness: w.slowness.Factor(),
 	}
 }
 
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -43,6 +43,7 @@
 	nextRenew  time.Time
 	failures   int
 	record     plan.Record
+	slowness   plan.Slowness
 }
 
 func newWorker(id string) *worker {
--- a/internal/plan/learn.go
+++ b/internal/plan/learn.go
@@ -8,6 +8,8 @@
 	learnDecay = 0.99
 	// guessRuns is how many seen runs the guesses themselves weigh as much as.
 	guessRuns = 3
+	// knownRuns is how many runs of a queue others are judged by.
+	knownRuns = 10
 	// flatShare is the spread of guesses, as a share of their square, below which
 	// they are taken to be wrong by a factor.
 	flatShare = 0.02
@@ -53,6 +55,13 @@
 	f.product = learnDecay*f.product + g*t
 }
 
+// Known reports whether enough runs of the queue were seen to judge others by them.
+func (e *Estimates) Known(queue string) bool {
+	f, ok := e.fits[queue]
+
+	return ok && f.runs > knownRuns
+}
+
 // Correct returns what a run that is guessed to take a time will take.
 func (e *Estimates) Correct(queue string, guessed time.Duration) time.Duration {
 	f, ok := e.fits[queue]
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -13,6 +13,8 @@
 	Trial bool
 	// Busy says that the worker has any task.
 	Busy bool
+	// Slowness is the worker's time for a run as a multiple of the usual one.
+	Slowness float64
 }
 
 // Demand is what a step wants placed.
@@ -25,11 +27,17 @@
 	NearRack string
 	// OneRack demands that all tasks go to one rack if any rack holds them.
 	OneRack bool
+	// Hurry is 1 where fast workers are preferred, and -1 where they are left to others.
+	Hurry float64
 }
 
 // rackWeight makes the right rack count for more than how well a task fits.
 const rackWeight = 1000
 
+// slownessScore is what a worker's slowness counts against how well a task fits: a
+// worker that takes a quarter longer is as bad as one that is empty instead of half full.
+const slownessScore = 4
+
 // Best returns the index of the site with the highest score that can take one
 // more task, or -1. The avoid function names sites that the task must not go to.
 func Best(sites []Site, demand *Demand, placer mill.Placer, avoid func(worker string) bool) int {
@@ -42,7 +50,7 @@
 			continue
 		}
 
-		score := placer.Score(&site.View, demand.Each)
+		score := placer.Score(&site.View, demand.Each) - slownessScore*demand.Hurry*site.Slowness
 		if demand.NearRack != "" && site.View.Rack == demand.NearRack {
 			score += rackWeight
 		}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -112,7 +112,9 @@
 	draw := func() (took, guess time.Duration) {
 		seconds := 4.5 * math.Exp(0.5*random.NormFloat64())
 
-		return time.Duration(seconds * float64(time.Second)), time.Duration(seconds * (0.1 + 1.8*random.Float64()) * float64(time.Second))
+		guessed := seconds * (0.1 + 1.8*random.Float64())
+
+		return time.Duration(seconds * float64(time.Second)), time.Duration(guessed * float64(time.Second))
 	}
 
 	for range 200 {
@@ -150,6 +152,51 @@
 	return list
 }
 
+// TestUrgentWorkGetsFastWorkers plays an urgent queue and a patient one that fill a pool
+// of fast and slow workers together. It expects more urgent tasks to be in time than where
+// speeds are not looked at, and no patient one to be late.
+func TestUrgentWorkGetsFastWorkers(t *testing.T) {
+	play := func(urgency, patience float64) (inTime int) {
+		pool := sites(4000, 4000, 4000, 4000)
+		for i := range pool {
+			pool[i].Slowness = 0.8 + 0.45*float64(i%2)
+		}
+
+		each := mill.Resources{MilliCores: 1000}
+
+		for range 8 {
+			pool[Best(pool, &Demand{Each: each, Hurry: patience}, firstFit{}, nil)].Take(each)
+
+			at := Best(pool, &Demand{Each: each, Hurry: urgency}, firstFit{}, nil)
+			pool[at].Take(each)
+
+			if pool[at].Slowness < 1 {
+				inTime++
+			}
+		}
+
+		return inTime
+	}
+
+	assert.Equal(t, play(Hurry(time.Second/2, time.Second), Hurry(20*time.Second, 5*time.Second)), 8)
+	assert.Assert(t, play(0, 0) < 8, "the plain choice")
+}
+
+// TestSlownessIsLearned expects a slow worker to be told from a fast one by what other
+// workers take for like runs.
+func TestSlownessIsLearned(t *testing.T) {
+	var slow, fast Slowness
+
+	assert.Equal(t, slow.Factor(), 1.0)
+
+	for range 30 {
+		slow.Learn(1250*time.Millisecond, time.Second)
+		fast.Learn(800*time.Millisecond, time.Second)
+	}
+
+	assert.Assert(t, slow.Factor() > 1.2 && fast.Factor() < 0.85)
+}
+
 // TestSpreadKeepsOneRack expects tasks that belong together to go to a rack that
 // holds them all, and to be placed anyway where none does.
 func TestSpreadKeepsOneRack(t *testing.T) {
