Pass the lead on from a slow disk, elect sooner after a start, and record workers in the log

After the closing losses the first election took 0.6 to 0.75 s though nobody led, and workers could be called only after their next report.

A leader whose stores took over 80 ms three times in a row passes the lead on. What workers say of themselves, but for what changes each time, is in the log, and a new leader asks those that it has not heard.

Ruled out: writing beside the sending, since the sends come before the sync already; the leader's loop is what waits.

--- a/internal/drive/driver.go
+++ b/internal/drive/driver.go
@@ -21,6 +21,7 @@
 	storage mill.Storage
 	send    func(message M)
 	after   func()
+	stored  func(took time.Duration)
 	tick    time.Duration
 	batch   int
 	events  *ring.Ring[func()]
@@ -34,6 +35,8 @@
 	Send func(message M)
 	// After runs on the driver's goroutine each time the machine has settled.
 	After func()
+	// Stored runs on the driver's goroutine with how long each store of records took; it may be nil.
+	Stored func(took time.Duration)
 	// Tick is the length of one tick.
 	Tick time.Duration
 	// Batch bounds the events that share one sync; 0 means DefaultBatch.
@@ -47,6 +50,7 @@
 		storage: config.Storage,
 		send:    config.Send,
 		after:   config.After,
+		stored:  config.Stored,
 		tick:    config.Tick,
 		batch:   config.Batch,
 		events:  ring.New[func()](ringCapacity),
@@ -149,9 +153,15 @@
 			return err
 		}
 	} else if len(output.Records) > 0 {
+		began := time.Now()
+
 		if err := d.storage.Append(output.Records...); err != nil {
 			return err
 		}
+
+		if d.stored != nil {
+			d.stored(time.Since(began))
+		}
 	}
 
 	d.machine.Saved()
--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/phuslu/log"
 
 	"github.com/cranberrymill/cranberrymill/internal/drive"
 	"github.com/cranberrymill/cranberrymill/internal/raft"
@@ -57,6 +58,7 @@
 	driver  *drive.Driver[raft.Message]
 	waiters map[uint64]waiter
 	role    atomic.Pointer[Role]
+	disk    slowDisk
 }
 
 // Open returns the server that the storage holds.
@@ -75,6 +77,7 @@
 		Storage: config.Storage,
 		Send:    func(message raft.Message) { outbox.Send(message.Address, message) },
 		After:   h.settle,
+		Stored:  h.stored,
 		Tick:    TickTime,
 	})
 
@@ -138,6 +141,16 @@
 	h.waiters[index] = waiter{term: term, done: done}
 }
 
+// stored passes the lead on when this server's disk holds the group up.
+func (h *Host) stored(took time.Duration) {
+	if !h.node.Leading() || !h.disk.observe(took, time.Now()) {
+		return
+	}
+
+	passed := h.node.HandOver()
+	log.Warn().Dur("took", took).Bool("passed", passed).Msg("slow disk: passing the lead on")
+}
+
 // settle publishes what the server has come to; it runs on the driver's goroutine.
 func (h *Host) settle() {
 	leader, _ := h.node.Leader()
--- /dev/null
+++ b/internal/group/slow.go
@@ -0,0 +1,43 @@
+package group
+
+import "time"
+
+const (
+	// slowSync is how long a leader may take to store entries: several syncs of a sound
+	// disk and a round trip between regions. Beyond it another voter commits sooner.
+	slowSync = 80 * time.Millisecond
+	// slowInARow is how many stores are slow before the lead is passed on: one or two
+	// are due to a snapshot, or to a process that was suspended.
+	slowInARow = 3
+	// handOverPause is the least time between two hand-overs for this reason, so that
+	// the lead does not go round where every disk is slow.
+	handOverPause = 5 * time.Second
+)
+
+// slowDisk tells when a leader's own disk holds up what the others could commit. Its
+// zero value is ready.
+type slowDisk struct {
+	inARow int
+	passed time.Time
+}
+
+// observe takes note of how long the leader took to store entries, and reports
+// whether it should pass the lead on.
+func (s *slowDisk) observe(took time.Duration, now time.Time) bool {
+	if took < slowSync {
+		s.inARow = 0
+
+		return false
+	}
+
+	s.inARow++
+
+	if s.inARow < slowInARow || !s.passed.IsZero() && now.Sub(s.passed) < handOverPause {
+		return false
+	}
+
+	s.inARow = 0
+	s.passed = now
+
+	return true
+}
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -9,6 +9,10 @@
 	Cancel *Cancel     `cbor:"3,keyasint,omitempty"`
 	Place  *Place      `cbor:"4,keyasint,omitempty"`
 	End    *End        `cbor:"5,keyasint,omitempty"`
+	// Know records what a worker says of itself, but for what changes with every report.
+	Know *mill.WorkerStatus `cbor:"6,keyasint,omitempty"`
+	// Forget drops the record of the worker of this id.
+	Forget string `cbor:"7,keyasint,omitempty"`
 }
 
 // Batch is what one entry of the replicated log holds.
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -25,11 +25,17 @@
 	Sequence uint64          `cbor:"3,keyasint"`
 	// Over lists the jobs that are over, the oldest first.
 	Over []string `cbor:"4,keyasint,omitempty"`
+	// Workers holds what was recorded of the workers, so that a leader can call them
+	// before they report, after all processes were restarted.
+	Workers map[string]*mill.WorkerStatus `cbor:"5,keyasint,omitempty"`
 }
 
 // NewState returns a state without a setup or jobs.
 func NewState() *State {
-	return &State{content: content{Jobs: make(map[string]*Job)}, open: make(map[string]*Job)}
+	return &State{
+		content: content{Jobs: make(map[string]*Job), Workers: make(map[string]*mill.WorkerStatus)},
+		open:    make(map[string]*Job),
+	}
 }
 
 // Setup returns the setup in force, or nil before the first.
@@ -50,6 +56,11 @@
 	return s.open
 }
 
+// Workers returns the recorded workers by id. The caller must not change the map.
+func (s *State) Workers() map[string]*mill.WorkerStatus {
+	return s.content.Workers
+}
+
 // Len returns the number of jobs that are known.
 func (s *State) Len() int {
 	return len(s.content.Jobs)
@@ -68,6 +79,14 @@
 		return s.place(command.Place)
 	case command.End != nil:
 		return s.end(command.End)
+	case command.Know != nil:
+		s.content.Workers[command.Know.ID] = command.Know
+
+		return ResultApplied
+	case command.Forget != "":
+		delete(s.content.Workers, command.Forget)
+
+		return ResultApplied
 	default:
 		return ResultObsolete
 	}
@@ -92,6 +111,10 @@
 		next.content.Jobs = make(map[string]*Job)
 	}
 
+	if next.content.Workers == nil {
+		next.content.Workers = make(map[string]*mill.WorkerStatus)
+	}
+
 	for id, job := range next.content.Jobs {
 		if !job.Over() || job.Placed > 0 {
 			next.open[id] = job
--- a/internal/jobs/state_test.go
+++ b/internal/jobs/state_test.go
@@ -312,3 +312,18 @@
 	assert.Assert(t, !oldest)
 	assert.Equal(t, s.Len(), MaxOver+1)
 }
+
+// TestRecordedWorkersOutliveARestart expects what was recorded of workers to be in the stored form.
+func TestRecordedWorkersOutliveARestart(t *testing.T) {
+	state := NewState()
+	state.Apply(&Command{Know: &mill.WorkerStatus{ID: "a", Address: "h:1"}})
+	state.Apply(&Command{Know: &mill.WorkerStatus{ID: "b", Address: "h:2"}})
+	state.Apply(&Command{Forget: "a"})
+
+	data, err := state.Save()
+	assert.NilError(t, err)
+
+	again := NewState()
+	assert.NilError(t, again.Load(data))
+	assert.DeepEqual(t, again.Workers(), map[string]*mill.WorkerStatus{"b": {ID: "b", Address: "h:2"}})
+}
--- a/internal/lead/fuzz_test.go
+++ b/internal/lead/fuzz_test.go
@@ -26,7 +26,7 @@
 			"submit": draw.submit,
 			"cancel": draw.cancel,
 			"pass":   draw.pass,
-			"lead":   func(*rapid.T) { w.newLeader() },
+			"lead":   func(*rapid.T) { w.deaf = w.flip("deaf"); w.newLeader() },
 			"crash":  draw.crash,
 			"back":   draw.back,
 			"cut":    draw.cut,
--- a/internal/lead/give.go
+++ b/internal/lead/give.go
@@ -121,7 +121,7 @@
 	}
 
 	holding, settled := w.holding()
-	if !holding && !w.owes(now) {
+	if !holding && !w.owes(now) && !w.unmet() {
 		return
 	}
 
--- /dev/null
+++ b/internal/lead/record.go
@@ -0,0 +1,74 @@
+package lead
+
+import (
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+)
+
+// recordsAtOnce bounds the changes of recorded workers in one entry of the log, so
+// that the first reports of thousands of workers do not hold up placements.
+const recordsAtOnce = 64
+
+// recall takes over what the log holds of the workers. It answers restarts of all
+// processes: without it a leader can call a worker only after its next report.
+func (s *Scheduler) recall(state *jobs.State) {
+	for id, recorded := range state.Workers() {
+		w := s.worker(id)
+		w.status = *recorded
+		w.recorded = recorded
+	}
+}
+
+// record returns the commands that bring the log's records of the workers up to date.
+func (s *Scheduler) record() []jobs.Command {
+	var commands []jobs.Command
+
+	for id, w := range s.workers {
+		if len(commands) == recordsAtOnce {
+			break
+		}
+
+		if w.recording {
+			continue
+		}
+
+		switch ended := w.gone || !w.removed.IsZero(); {
+		case ended && w.recorded != nil && len(w.runs) == 0:
+			w.recording = true
+
+			commands = append(commands, jobs.Command{Forget: id})
+		case !ended && !w.heard.IsZero() && (w.recorded == nil || !w.recorded.SameFacts(&w.status)):
+			w.recording = true
+			facts := w.status.Facts()
+
+			commands = append(commands, jobs.Command{Know: &facts})
+		default:
+		}
+	}
+
+	for _, id := range s.forgotten {
+		commands = append(commands, jobs.Command{Forget: id})
+	}
+
+	s.forgotten = nil
+
+	return commands
+}
+
+// recordCommitted takes note of what came of a change of a worker's record.
+func (s *Scheduler) recordCommitted(command *jobs.Command, committed bool) {
+	id := command.Forget
+	if command.Know != nil {
+		id = command.Know.ID
+	}
+
+	w, ok := s.workers[id]
+	if !ok {
+		return
+	}
+
+	w.recording = false
+
+	if committed {
+		w.recorded = command.Know
+	}
+}
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -26,7 +26,9 @@
 	ends      []ended
 	// strays are runs that workers have and nobody wants.
 	strays map[mill.RunRef]stray
-	events []Event
+	// forgotten lists silent workers whose records are to be dropped.
+	forgotten []string
+	events    []Event
 	// waitingSteps counts the steps that the last plan left with tasks to place.
 	waitingSteps int
 }
@@ -70,6 +72,8 @@
 		retrying: make(map[mill.TaskID]time.Time),
 	}
 
+	s.recall(state)
+
 	for _, job := range state.Open() {
 		s.inherit(job)
 	}
@@ -202,6 +206,7 @@
 	actions.Commands = s.takeEnds(now)
 	candidates := s.candidates(wall, state)
 	actions.Commands = append(actions.Commands, s.place(candidates, now)...)
+	actions.Commands = append(actions.Commands, s.record()...)
 	actions.Asks = s.ask(candidates, now)
 	s.waitingSteps = countWaiting(candidates)
 	s.give(&actions, now)
@@ -213,9 +218,7 @@
 func (s *Scheduler) lapse(now time.Time) {
 	for id, w := range s.workers {
 		if len(w.runs) == 0 {
-			if !w.heard.IsZero() && now.Sub(w.heard) > forgetWorker {
-				delete(s.workers, id)
-			}
+			s.forget(id, w, now)
 
 			continue
 		}
@@ -226,6 +229,24 @@
 	}
 }
 
+// forget drops a worker that has been silent for long.
+func (s *Scheduler) forget(id string, w *worker, now time.Time) {
+	last := w.heard
+	if last.IsZero() {
+		last = s.began
+	}
+
+	if now.Sub(last) <= forgetWorker {
+		return
+	}
+
+	delete(s.workers, id)
+
+	if w.recorded != nil {
+		s.forgotten = append(s.forgotten, id)
+	}
+}
+
 // forgetWorker is how long a silent worker without runs is remembered.
 const forgetWorker = 30 * time.Second
 
@@ -331,6 +352,8 @@
 			s.placed(commands[i].Place, err == nil && results[i] == jobs.ResultApplied, now)
 		case commands[i].End != nil:
 			s.endCommitted(commands[i].End, err == nil, now)
+		case commands[i].Know != nil, commands[i].Forget != "":
+			s.recordCommitted(&commands[i], err == nil)
 		default:
 		}
 	}
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -10,6 +10,10 @@
 // worker is what the scheduler knows of one worker.
 type worker struct {
 	status mill.WorkerStatus
+	// recorded is what the replicated log holds of the worker, nil for nothing;
+	// recording says that a change of that is being committed.
+	recorded  *mill.WorkerStatus
+	recording bool
 	// heard is when the worker last said anything; zero while it is only known from placements.
 	heard time.Time
 	// answered is when the worker answered a renewal last.
@@ -89,6 +93,12 @@
 	return w.failures == 0 && now.Sub(w.heard) < quietWorker && w.record.Trusted(now)
 }
 
+// unmet reports whether the worker is known from the log only and was not asked yet
+// whether it is still there.
+func (w *worker) unmet() bool {
+	return w.heard.IsZero() && w.recorded != nil && w.failures == 0
+}
+
 // extend returns the end of a lease that starts now, by the worker's clock.
 func (w *worker) extend(now time.Time, lease time.Duration) int64 {
 	until := w.clock.estimate(now) + lease.Milliseconds()
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -83,7 +83,9 @@
 	failures  map[mill.TaskID]int
 	poison    map[string]bool
 	calm      bool
-	choices   uint64
+	// deaf leaders begin before any worker has reported to them.
+	deaf    bool
+	choices uint64
 	// asks counts the questions to the advisor, and askedFor those about each job.
 	asks     int
 	askedFor map[string]int
@@ -189,7 +191,7 @@
 	w.leader = &leader{scheduler: New(bounds, term, w.now, w.state, place.Pack{}), term: term}
 
 	for _, e := range w.executors {
-		if e.up && !e.cut {
+		if e.up && !e.cut && !w.deaf {
 			w.leader.report(e.status(), w.now)
 		}
 	}
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -34,6 +34,7 @@
 		return
 	}
 
+	n.led = true
 	n.follow(message.Term)
 	n.leader = message.From
 
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -10,6 +10,7 @@
 func (n *Node) lead() {
 	n.role = leader
 	n.leader = n.self
+	n.led = true
 	n.progress = progresses{}
 	n.syncProgress()
 	n.add(Entry{})
--- a/internal/raft/membership_test.go
+++ b/internal/raft/membership_test.go
@@ -104,6 +104,58 @@
 	assert.DeepEqual(t, w.voters(), w.names)
 }
 
+// TestElectionAfterRestartOfAll restarts all servers together, again and again. It
+// expects the next leader within the time of one election, half a second, nearly always.
+func TestElectionAfterRestartOfAll(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.rounds(healRounds)
+
+	late := 0
+
+	for range 50 {
+		for _, name := range w.names {
+			w.stop(name)
+		}
+
+		for _, name := range w.names {
+			w.start(name)
+		}
+
+		w.rounds(electionTicks)
+
+		if len(w.leading()) == 0 {
+			late++
+		}
+
+		w.rounds(healRounds)
+		assert.Equal(t, len(w.leading()), 1)
+	}
+
+	assert.Assert(t, late <= 5, "%d of 50 elections took longer", late)
+}
+
+// TestRestartDoesNotDepose restarts a follower again and again, and expects the leader to stay.
+func TestRestartDoesNotDepose(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.rounds(healRounds)
+
+	leader := w.leading()[0]
+	term := w.servers[leader].node.Term()
+
+	for range 20 {
+		for _, name := range w.names {
+			if name != leader {
+				w.stop(name)
+				w.start(name)
+				w.rounds(electionTicks)
+			}
+		}
+	}
+
+	assert.DeepEqual(t, w.leading(), []string{leader})
+	assert.Equal(t, w.servers[leader].node.Term(), term)
+}
+
 // TestLongLogAfterRestart restarts servers whose log is longer than what may be
 // outstanding. The new leader refuses entries at first, and must be known to be
 // current once it does not.
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -12,6 +12,7 @@
 const (
 	heartbeatTicks  = 2
 	electionTicks   = 10
+	firstTicks      = 3
 	learnTicks      = 4
 	stalledTicks    = 8
 	entriesAtOnce   = 64
@@ -51,6 +52,8 @@
 	ticks    int
 	out      drive.Output[Message]
 	hasVote  bool
+	// led says that a leader was known since the server was opened.
+	led bool
 	// bytes counts the data of the entries stored since the last snapshot.
 	bytes  int
 	limits limits
@@ -246,8 +249,18 @@
 	n.resetTimeout()
 }
 
+// resetTimeout draws when to stand for election. A server that was just opened waits
+// less: if there is a leader the others hear it and refuse, and if all were
+// restarted nobody else will begin.
 func (n *Node) resetTimeout() {
 	n.elapsed = 0
+
+	if !n.led {
+		n.timeout = firstTicks + n.random.IntN(electionTicks/2)
+
+		return
+	}
+
 	n.timeout = electionTicks + n.random.IntN(electionTicks)
 }
 
--- a/pkg/mill/worker_status.go
+++ b/pkg/mill/worker_status.go
@@ -1,6 +1,9 @@
 package mill
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // WorkerStatus is what a worker says of itself.
 type WorkerStatus struct {
@@ -34,17 +37,26 @@
 	return s.Sequence > other.Sequence
 }
 
+// Facts returns the status without what changes with every report.
+func (s *WorkerStatus) Facts() WorkerStatus {
+	facts := *s
+	facts.Remaining, facts.ClockMilli, facts.Sequence = 0, 0, 0
+
+	return facts
+}
+
+// SameFacts reports whether two statuses differ at most in what changes with every report.
+func (s *WorkerStatus) SameFacts(other *WorkerStatus) bool {
+	return s.ID == other.ID && s.BornUnixMilli == other.BornUnixMilli && s.Service == other.Service &&
+		s.Address == other.Address && s.DataCentre == other.DataCentre && s.Rack == other.Rack &&
+		s.Capacity == other.Capacity && s.Draining == other.Draining && slices.Equal(s.Labels, other.Labels)
+}
+
 // HasLabel reports whether the worker has the label; every worker has "".
 func (s *WorkerStatus) HasLabel(label string) bool {
 	if label == "" {
 		return true
 	}
 
-	for _, one := range s.Labels {
-		if one == label {
-			return true
-		}
-	}
-
-	return false
+	return slices.Contains(s.Labels, label)
 }
