Give orders with the answers to reports where workers cannot be called

Cause: a deployment whose settings say orders = heartbeat was refused at the start, so that it served nobody.

internal/mail keeps orders until the worker's next report and reads from the one after it what came of them.

Ruled out: orders by followers, which would need the leader's orders on every process.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberrymill/cranberrymill/internal/drive"
 	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -341,20 +342,44 @@
 	}
 }
 
-// ReportWorker takes note of a worker's status and passes it on.
-func (c *Core) ReportWorker(_ context.Context, status *mill.WorkerStatus) error {
-	news := News{Status: status}
-	if c.noteNews(&news, time.Now()) {
+// ReportWorker takes note of a worker's report and passes its status on. Where orders
+// are given with the answers, it sends the worker to the leader.
+func (c *Core) ReportWorker(_ context.Context, report *mill.WorkerReport) (*mill.ReportReply, error) {
+	now := time.Now()
+
+	news := News{Status: report.Status}
+	if c.noteNews(&news, now) {
 		c.tell(news)
 	}
 
-	return nil
+	if c.config.Answers == nil {
+		return &mill.ReportReply{}, nil
+	}
+
+	reply := &mill.ReportReply{ReportTo: c.host.Role().Leader.Address}
+	if c.runner.Load() == nil {
+		return reply, nil
+	}
+
+	var err error
+
+	if reply.Orders, err = c.config.Answers.Answer(report, now); err != nil {
+		return nil, err
+	}
+
+	reply.Orders.Again = plan.ReportAgain(c.table.len())
+
+	return reply, nil
 }
 
 // RemoveWorker takes note of a worker's planned end and passes it on.
 func (c *Core) RemoveWorker(_ context.Context, id string) error {
 	log.Info().Str("worker", id).Msg("worker ends")
 
+	if c.config.Answers != nil {
+		c.config.Answers.Forget(id)
+	}
+
 	news := News{Removed: id}
 	c.noteNews(&news, time.Now())
 	c.tell(news)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,6 +19,7 @@
 	"github.com/cranberrymill/cranberrymill/internal/group"
 	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/internal/lead"
+	"github.com/cranberrymill/cranberrymill/internal/mail"
 	"github.com/cranberrymill/cranberrymill/internal/place"
 	"github.com/cranberrymill/cranberrymill/internal/raft"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
@@ -36,9 +37,11 @@
 	// First says that the whole system starts for the first time.
 	First bool
 	// Folder is the data folder.
-	Folder  string
-	Bounds  lead.Bounds
-	Orders  mill.WorkerOrders
+	Folder string
+	Bounds lead.Bounds
+	Orders mill.WorkerOrders
+	// Answers hands Orders out with the answers to reports; nil where they are given by calls.
+	Answers *mail.Box
 	Advisor mill.Advisor
 }
 
--- a/internal/core/path_test.go
+++ b/internal/core/path_test.go
@@ -189,11 +189,12 @@
 }
 
 func (s *site) report(at int) {
-	assert.NilError(s.t, s.cores[at].ReportWorker(within(), &mill.WorkerStatus{
+	_, err := s.cores[at].ReportWorker(within(), &mill.WorkerReport{Status: &mill.WorkerStatus{
 		ID: "w", BornUnixMilli: 1, Service: "s", Address: "w", Rack: "r", Labels: []string{"a", "r"},
 		Capacity: mill.Resources{MilliCores: 4000, MemoryMiB: 4000}, ClockMilli: s.pool.clock(),
 		Sequence: uint64(time.Now().UnixNano()),
-	}))
+	}})
+	assert.NilError(s.t, err)
 }
 
 func (s *site) runJob(id string, reporter int) {
--- a/internal/core/table.go
+++ b/internal/core/table.go
@@ -49,6 +49,14 @@
 	delete(t.byID, id)
 }
 
+// len returns the number of workers that were heard of.
+func (t *table) len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return len(t.byID)
+}
+
 // all returns the statuses that are not too old, and forgets the others.
 func (t *table) all(now time.Time) []heardStatus {
 	t.mu.Lock()
--- a/internal/lead/bounds.go
+++ b/internal/lead/bounds.go
@@ -8,6 +8,24 @@
 	MaxLease time.Duration
 	// GangWait is how long a worker lets members of a gang wait for the others.
 	GangWait time.Duration
+	// OrderTime is how long an order may stay unanswered before it is given again; 0 for
+	// that of orders which are given by calls.
+	OrderTime time.Duration
+	// DeliverTime is how long a start may wait for the worker before it is delivered; 0 where
+	// workers are called.
+	DeliverTime time.Duration
+	// LateLease is how long after it was given a lease may begin: where leases count
+	// from the order's arrival, an order that arrives late brings a late one.
+	LateLease time.Duration
+}
+
+// orderTime returns how long an order may stay unanswered.
+func (b *Bounds) orderTime() time.Duration {
+	if b.OrderTime > 0 {
+		return b.OrderTime
+	}
+
+	return calledOrderTime
 }
 
 // usualLease is how long a worker keeps its runs without hearing from the
@@ -27,9 +45,9 @@
 const (
 	// clockDrift is the largest share by which a worker's clock is slow, from the deployment's pages.
 	clockDrift = 0.02
-	// orderTime is how long an order may stay unanswered before it is given again:
-	// several round trips between regions.
-	orderTime = 400 * time.Millisecond
+	// calledOrderTime is how long an order that was given by a call may stay unanswered
+	// before it is given again: several round trips between regions.
+	calledOrderTime = 400 * time.Millisecond
 	// retryTime is the pause before an order is given again.
 	retryTime = 100 * time.Millisecond
 	// startTries is how often a start is given before its run is barred instead.
--- a/internal/lead/give.go
+++ b/internal/lead/give.go
@@ -88,7 +88,7 @@
 }
 
 func (s *Scheduler) giveStop(actions *Actions, r *run, now time.Time) {
-	if r.barred || now.Sub(r.stopSent) < orderTime || r.worker.status.Address == "" {
+	if r.barred || now.Sub(r.stopSent) < s.bounds.orderTime() || r.worker.status.Address == "" {
 		return
 	}
 
@@ -99,7 +99,7 @@
 
 func (s *Scheduler) giveStrays(actions *Actions, now time.Time) {
 	for ref, found := range s.strays {
-		if now.Sub(found.sent) < orderTime {
+		if now.Sub(found.sent) < s.bounds.orderTime() {
 			continue
 		}
 
@@ -125,6 +125,13 @@
 		return
 	}
 
+	w.renewing = true
+
+	actions.Renews = append(actions.Renews, Renew{To: w.ref(), Order: s.renewOrder(w, holding, settled, now)})
+}
+
+// renewOrder returns what a worker is asked, which holds runs or not, all of them settled or not.
+func (s *Scheduler) renewOrder(w *worker, holding, settled bool, now time.Time) mill.RenewOrder {
 	order := mill.RenewOrder{Fence: s.fenceOf(w)}
 
 	// After a silence another life may have begun under the id, and numbers its ends anew.
@@ -142,9 +149,7 @@
 		order.Wait = min(renewWait, s.bounds.Lease()/3)
 	}
 
-	w.renewing = true
-
-	actions.Renews = append(actions.Renews, Renew{To: w.ref(), Order: order})
+	return order
 }
 
 // canRenew reports whether the worker can be asked for a report. It waits until
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -60,6 +60,8 @@
 				queue: queue,
 				step:  &job.Work.Steps[index],
 				state: step,
+
+				arrives: commitTime + s.bounds.DeliverTime,
 			}
 
 			if c.waiting = s.waiting(c); len(c.waiting) > 0 {
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -27,21 +27,10 @@
 			break
 		}
 
-		if w.recording {
-			continue
-		}
-
-		switch ended := w.gone || !w.removed.IsZero(); {
-		case ended && w.recorded != nil && len(w.runs) == 0:
-			w.recording = true
-
-			commands = append(commands, jobs.Command{Forget: id})
-		case !ended && !w.heard.IsZero() && (w.recorded == nil || !w.recorded.SameFacts(&w.status)):
+		if command, due := w.recordDue(id); due {
 			w.recording = true
-			facts := w.status.Facts()
 
-			commands = append(commands, jobs.Command{Know: &facts})
-		default:
+			commands = append(commands, command)
 		}
 	}
 
@@ -54,6 +43,22 @@
 	return commands
 }
 
+// recordDue returns the command that brings the worker's record up to date, if one is due.
+func (w *worker) recordDue(id string) (command jobs.Command, due bool) {
+	switch ended := w.gone || !w.removed.IsZero(); {
+	case w.recording:
+		return jobs.Command{}, false
+	case ended:
+		return jobs.Command{Forget: id}, w.recorded != nil && len(w.runs) == 0
+	case w.heard.IsZero() || w.recorded != nil && w.recorded.SameFacts(&w.status):
+		return jobs.Command{}, false
+	default:
+		facts := w.status.Facts()
+
+		return jobs.Command{Know: &facts}, true
+	}
+}
+
 // recordCommitted takes note of what came of a change of a worker's record.
 func (s *Scheduler) recordCommitted(command *jobs.Command, committed bool) {
 	id := command.Forget
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -142,7 +142,7 @@
 }
 
 func (r *Runner) start(start *Start) {
-	ctx, cancel := context.WithTimeout(r.context, orderTime)
+	ctx, cancel := context.WithTimeout(r.context, r.scheduler.bounds.orderTime())
 	defer cancel()
 
 	reply := r.outside.Orders.Start(ctx, start.To, &start.Order)
@@ -150,7 +150,7 @@
 }
 
 func (r *Runner) stop(stop *Stop) {
-	ctx, cancel := context.WithTimeout(r.context, orderTime)
+	ctx, cancel := context.WithTimeout(r.context, r.scheduler.bounds.orderTime())
 	defer cancel()
 
 	reply := r.outside.Orders.Stop(ctx, stop.To, stop.Run, stop.Fence)
@@ -160,7 +160,7 @@
 func (r *Runner) renew(renew *Renew) {
 	asked := time.Now()
 
-	ctx, cancel := context.WithTimeout(r.context, renew.Order.Wait+answerSlack)
+	ctx, cancel := context.WithTimeout(r.context, renew.Order.Wait+max(answerSlack, r.scheduler.bounds.OrderTime))
 	defer cancel()
 
 	reply := r.outside.Orders.Renew(ctx, renew.To, &renew.Order)
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -253,16 +253,16 @@
 // leasesOver reports whether no run on a worker that does not answer can be alive.
 func (s *Scheduler) leasesOver(w *worker, now time.Time) bool {
 	if !w.inherits {
-		return w.failures > 0 && w.lapsed(now)
+		return w.failures > 0 && w.lapsed(now, s.bounds.LateLease)
 	}
 
 	// Nobody here knows what leases an earlier leader has given.
-	longest := time.Duration(float64(s.bounds.MaxLease)/(1-clockDrift)) + takeoverMargin
+	longest := time.Duration(float64(s.bounds.MaxLease)/(1-clockDrift)) + takeoverMargin + s.bounds.LateLease
 	if now.Sub(s.began) <= longest {
 		return false
 	}
 
-	return w.until == 0 || w.lapsed(now)
+	return w.until == 0 || w.lapsed(now, s.bounds.LateLease)
 }
 
 func (s *Scheduler) endAll(w *worker, cause mill.EndCause) {
--- a/internal/lead/step.go
+++ b/internal/lead/step.go
@@ -39,6 +39,8 @@
 	waiting []int
 	claim   plan.Claim
 	advice  *advice
+	// arrives is how long it takes until an order that is decided now reaches a worker.
+	arrives time.Duration
 	// wanted names the workers with room for the step that the advisor should be asked about.
 	wanted []string
 }
@@ -111,5 +113,5 @@
 		return false, false
 	}
 
-	return true, found.until.After(now.Add(commitTime))
+	return true, found.until.After(now.Add(c.arrives))
 }
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -107,7 +107,8 @@
 	return until
 }
 
-// lapsed reports whether every lease given to the worker has certainly run out.
-func (w *worker) lapsed(now time.Time) bool {
-	return w.clock.known() && w.clock.least(now) > w.until
+// lapsed reports whether every lease given to the worker has certainly run out, where
+// one may begin some time after it was given.
+func (w *worker) lapsed(now time.Time, late time.Duration) bool {
+	return w.clock.known() && w.clock.least(now) > w.until+late.Milliseconds()
 }
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -368,9 +368,9 @@
 
 	switch {
 	case w.chance("lost order", w.faults.lostOrder):
-		w.after(orderTime, func() { answer(false) })
+		w.after(calledOrderTime, func() { answer(false) })
 	case w.chance("late", w.faults.late):
-		w.after(orderTime, func() { answer(false) })
+		w.after(calledOrderTime, func() { answer(false) })
 		// An order that is carried out late has waited at the worker, and ends with its life.
 		w.after(time.Duration(2+w.choices%10)*time.Second, func() {
 			if e.up && e.bornAt.Equal(life) {
@@ -379,11 +379,11 @@
 		})
 	case w.chance("lost answer", w.faults.lostAnswer):
 		w.after(delay, func() { w.reach(e, func() { carryOut(e, false) }) })
-		w.after(orderTime, func() { answer(false) })
+		w.after(calledOrderTime, func() { answer(false) })
 	default:
 		w.after(delay, func() {
 			if !e.up || e.cut {
-				w.after(orderTime, func() { answer(false) })
+				w.after(calledOrderTime, func() { answer(false) })
 
 				return
 			}
--- /dev/null
+++ b/internal/mail/doc.go
@@ -0,0 +1,2 @@
+// Package mail holds orders for workers that take them from the answers to their reports.
+package mail
--- a/pkg/mill/cluster.go
+++ b/pkg/mill/cluster.go
@@ -66,8 +66,8 @@
 	Configure(ctx context.Context, setup *Setup) error
 	// CurrentSetup returns the newest setup, or ErrUnavailable when this process cannot be sure which it is.
 	CurrentSetup(ctx context.Context) (*Setup, error)
-	// ReportWorker takes note of a worker's status.
-	ReportWorker(ctx context.Context, status *WorkerStatus) error
+	// ReportWorker takes note of a worker's report.
+	ReportWorker(ctx context.Context, report *WorkerReport) (*ReportReply, error)
 	// RemoveWorker takes note of a worker's planned end.
 	RemoveWorker(ctx context.Context, id string) error
 }
