Stop patient tasks for large urgent ones, and renew tickets while room is made

A cleared worker stood idle until the advisor had been asked again.

A step that can be in time, needs most of a worker and finds none has tasks stopped whose queue comes later, whose work is saved and whose job has time to spare (plan.MayYield, plan.Room). The advisor is asked about the cleared worker before it has room.

Ruled out: more reservations only (they idle the room that small tasks would use).

--- a/internal/lead/ask_test.go
+++ b/internal/lead/ask_test.go
@@ -102,3 +102,27 @@
 	job, _ := w.state.Job("gang")
 	assert.Assert(t, job.Started, "the gang never got two whole workers")
 }
+
+// TestPatientWorkYields plays workers that are full of small tasks with much time left, whose
+// work is saved. It expects a large urgent task to start long before they end, and the
+// small ones to go on elsewhere or later from where they were.
+func TestPatientWorkYields(t *testing.T) {
+	w := newWorld(t, nil, 2)
+
+	small := oneAccelerator()
+	small.Count, small.Checkpointing = 4, true
+	w.submit("patient", "free", 20*time.Second, small)
+	w.specs["patient"].queue = "free"
+	w.run(time.Second)
+
+	w.submit("urgent", "advised", time.Second, wholeWorker())
+	w.run(1500 * time.Millisecond)
+
+	job, _ := w.state.Job("urgent")
+	assert.Assert(t, job.Started, "a whole worker is not made free")
+
+	w.run(40 * time.Second)
+
+	patient, _ := w.state.Job("patient")
+	assert.Equal(t, patient.State(), mill.JobCompleted)
+}
--- a/internal/lead/bounds.go
+++ b/internal/lead/bounds.go
@@ -8,6 +8,8 @@
 	MaxLease time.Duration
 	// GangWait is how long a worker lets members of a gang wait for the others.
 	GangWait time.Duration
+	// StopTime is how long a stop takes at the most; 0 where nothing is stopped for other work.
+	StopTime time.Duration
 	// OrderTime is how long an order may stay unanswered before it is given again; 0 for
 	// that of orders which are given by calls.
 	OrderTime time.Duration
--- a/internal/lead/clear.go
+++ b/internal/lead/clear.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -12,10 +14,22 @@
 // a time: its room is idle meanwhile.
 const clearedShare = 4
 
+// soonRoom is how soon a worker must have room for it to be cleared for a step that has
+// not waited long: its room is hardly idle then.
+const soonRoom = time.Second
+
+// option is a worker that may be cleared for a task.
+type option struct {
+	worker *worker
+	wait   time.Duration
+	// stopped are the runs that make room when they are stopped.
+	stopped []*run
+}
+
 // clear keeps small tasks away from some workers for large tasks that come first and
-// fit nowhere: otherwise small tasks would fill each gap, and they would never start.
-// It answers pools in which tasks that need a whole worker, or a gang of them, compete
-// with small ones.
+// fit nowhere, and stops patient ones there: otherwise small tasks would fill each gap, and
+// the large ones would never start. It answers pools in which tasks that need a whole
+// worker, or a gang of them, compete with small ones.
 func (s *Scheduler) clear(c *candidate, p *pass) {
 	pool := p.pools[c.queue.Service]
 	left := max(1, len(pool)/clearedShare) - p.cleared[c.queue.Service]
@@ -25,39 +39,97 @@
 		count = len(c.waiting)
 	}
 
-	if count > left || !c.claim.Starving() {
+	if count > left {
 		return
 	}
 
-	for _, w := range s.soonest(c, p, pool, count) {
-		p.cleared[c.queue.Service]++
-		p.kept[w] = p.kept[w].Add(c.step.Reserves())
+	chosen := s.soonest(c, p, pool, count)
+	if len(chosen) < count || !c.claim.Starving() && chosen[count-1].wait > soonRoom {
+		return
+	}
+
+	for i := range chosen {
+		s.clearOne(c, &chosen[i], p)
 	}
 }
 
-// soonest returns the workers that may be cleared for a step and have room for it first.
-func (s *Scheduler) soonest(c *candidate, p *pass, pool []*worker, count int) []*worker {
-	type option struct {
-		worker *worker
-		wait   time.Duration
+// clearOne keeps a worker for a step, and has the advisor asked in time for when it has room.
+func (s *Scheduler) clearOne(c *candidate, o *option, p *pass) {
+	p.cleared[c.queue.Service]++
+	p.kept[o.worker] = p.kept[o.worker].Add(c.step.Reserves())
+
+	for _, r := range o.stopped {
+		r.stopping = true
+		s.note(EventYield, r, c.id.String())
+	}
+
+	if c.advice == nil || o.wait > c.queue.Advice.Cost(1)+askSlack {
+		return
 	}
 
+	if _, valid := c.allows(o.worker.status.ID, p.now.Add(o.wait)); !valid {
+		c.wanted = append(c.wanted, o.worker.status.ID)
+	}
+}
+
+// soonest returns the workers that may be cleared for a step and have room for it first.
+func (s *Scheduler) soonest(c *candidate, p *pass, pool []*worker, count int) []option {
 	var options []option
 
 	for _, w := range pool {
 		if _, kept := p.kept[w]; !kept && s.mayClear(c, w) {
-			options = append(options, option{worker: w, wait: s.untilRoom(w, c.step.Reserves(), p.now)})
+			options = append(options, s.option(c, w, p))
 		}
 	}
 
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.wait, b.wait) })
 
-	workers := make([]*worker, 0, count)
-	for _, o := range options[:min(count, len(options))] {
-		workers = append(workers, o.worker)
+	return options[:min(count, len(options))]
+}
+
+// option returns when a worker would have room for a task of the step.
+func (s *Scheduler) option(c *candidate, w *worker, p *pass) option {
+	runs := make([]*run, 0, len(w.runs))
+	tenants := make([]plan.Tenant, 0, len(w.runs))
+
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+
+	slices.SortFunc(runs, func(a, b *run) int { return strings.Compare(a.task.String(), b.task.String()) })
+
+	for _, r := range runs {
+		tenants = append(tenants, plan.Tenant{
+			Reserves: r.reserves,
+			Left:     s.left(r, p.now),
+			Yields:   s.yields(r, c, p),
+		})
+	}
+
+	wait, stopped := plan.Room(w.free(), c.step.Reserves(), tenants, s.bounds.StopTime)
+	o := option{worker: w, wait: wait}
+
+	for _, at := range stopped {
+		o.stopped = append(o.stopped, runs[at])
+	}
+
+	return o
+}
+
+// yields reports whether a run may be stopped for a step that comes first.
+func (s *Scheduler) yields(r *run, c *candidate, p *pass) bool {
+	if r.phase != runAlive || r.stopping || r.step.Gang || s.bounds.StopTime == 0 {
+		return false
+	}
+
+	job, ok := p.state.Job(r.task.Job)
+	if !ok || job.Over() {
+		return false
 	}
 
-	return workers
+	claim := s.claim(s.candidate(job, p.setup, r.task.StepID), job.Occurrences[r.task.Occurrence], p.wall)
+
+	return plan.MayYield(&claim, &c.claim, r.step.Checkpointing)
 }
 
 // mayClear reports whether a worker may be cleared for a step: the task takes most of
@@ -81,36 +153,15 @@
 		2*each.MilliCores > capacity.MilliCores || 2*each.MemoryMiB > capacity.MemoryMiB
 }
 
-// untilRoom returns about how long it takes until tasks that end leave room.
-func (s *Scheduler) untilRoom(w *worker, each mill.Resources, now time.Time) time.Duration {
-	runs := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		runs = append(runs, r)
-	}
-
-	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(s.left(a, now), s.left(b, now)) })
-
-	free := w.free()
-
-	for _, r := range runs {
-		if each.Fits(free) {
-			break
-		}
-
-		free = free.Add(r.reserves)
-		if each.Fits(free) {
-			return s.left(r, now)
-		}
-	}
-
-	return 0
-}
-
 // lastingTime stands for the time that a lasting task has left, which nobody knows.
 const lastingTime = time.Hour
 
 // left returns about how long a run will go on.
 func (s *Scheduler) left(r *run, now time.Time) time.Duration {
+	if r.stopping {
+		return s.bounds.StopTime
+	}
+
 	if r.step.Lasting {
 		return lastingTime
 	}
--- a/internal/lead/event.go
+++ b/internal/lead/event.go
@@ -12,6 +12,8 @@
 	EventStop  EventKind = "stop answered"
 	EventEnd   EventKind = "run ended"
 	EventStill EventKind = "run stands still"
+	// EventYield tells of a run that is stopped for the step in the detail.
+	EventYield EventKind = "run yields"
 )
 
 // maxEvents bounds the events that wait to be logged; the rest are left out.
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -39,14 +39,6 @@
 }
 
 func (s *Scheduler) candidatesOf(found []*candidate, job *jobs.Job, wall int64, setup *mill.Setup) []*candidate {
-	queue := &job.Queue
-
-	if setup != nil {
-		if current, ok := setup.Queue(queue.Name); ok {
-			queue = current
-		}
-	}
-
 	for number, occurrence := range job.Due(wall) {
 		for index := range occurrence.Steps {
 			step := &occurrence.Steps[index]
@@ -54,15 +46,8 @@
 				continue
 			}
 
-			c := &candidate{
-				id:    mill.StepID{Job: job.ID, Occurrence: number, Step: index},
-				job:   job,
-				queue: queue,
-				step:  &job.Work.Steps[index],
-				state: step,
-
-				arrives: commitTime + s.bounds.DeliverTime,
-			}
+			c := s.candidate(job, setup, mill.StepID{Job: job.ID, Occurrence: number, Step: index})
+			c.state = step
 
 			if c.waiting = s.waiting(c); len(c.waiting) > 0 {
 				c.claim = s.claim(c, occurrence, wall)
@@ -75,6 +60,25 @@
 	return found
 }
 
+// candidate returns a step by the setup in force.
+func (s *Scheduler) candidate(job *jobs.Job, setup *mill.Setup, id mill.StepID) *candidate {
+	queue := &job.Queue
+
+	if setup != nil {
+		if current, ok := setup.Queue(queue.Name); ok {
+			queue = current
+		}
+	}
+
+	return &candidate{
+		id:      id,
+		job:     job,
+		queue:   queue,
+		step:    &job.Work.Steps[id.Step],
+		arrives: commitTime + s.bounds.DeliverTime,
+	}
+}
+
 // waiting returns the tasks of a step that have no run. A gang waits as a whole.
 func (s *Scheduler) waiting(c *candidate) []int {
 	var waiting []int
@@ -140,6 +144,9 @@
 // pass is one look at all candidates, best first.
 type pass struct {
 	now   time.Time
+	wall  int64
+	state *jobs.State
+	setup *mill.Setup
 	pools map[string][]*worker
 	// kept is the room that is kept for steps which come first and wait for the advisor.
 	kept map[*worker]mill.Resources
@@ -172,10 +179,13 @@
 }
 
 // place returns the placements that are to be committed, and claims their room.
-func (s *Scheduler) place(candidates []*candidate, now time.Time) []jobs.Command {
+func (s *Scheduler) place(candidates []*candidate, now time.Time, wall int64, state *jobs.State) []jobs.Command {
 	commands := make([]jobs.Command, 0, len(candidates))
 	p := &pass{
 		now:     now,
+		wall:    wall,
+		state:   state,
+		setup:   state.Setup(),
 		pools:   s.pools(now),
 		kept:    make(map[*worker]mill.Resources),
 		most:    make(map[string]mill.Resources),
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -205,7 +205,7 @@
 
 	actions.Commands = s.takeEnds(now)
 	candidates := s.candidates(wall, state)
-	actions.Commands = append(actions.Commands, s.place(candidates, now)...)
+	actions.Commands = append(actions.Commands, s.place(candidates, now, wall, state)...)
 	actions.Commands = append(actions.Commands, s.record()...)
 	actions.Asks = s.ask(candidates, now)
 	s.waitingSteps = countWaiting(candidates)
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -117,9 +117,9 @@
 }
 
 func worldSetup() *mill.Setup {
-	queue := func(name string, advice *mill.AdvicePolicy) mill.Queue {
+	queue := func(name string, priority int, advice *mill.AdvicePolicy) mill.Queue {
 		return mill.Queue{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Service: "pool", MaxAttempts: 4,
+			Name: name, Host: "h", Prefix: "/" + name + "/", Service: "pool", MaxAttempts: 4, Priority: priority,
 			Stretch: 2, Objective: time.Second, Timeout: time.Second, Advice: advice,
 		}
 	}
@@ -127,8 +127,8 @@
 	return &mill.Setup{
 		Version: 1,
 		Queues: []mill.Queue{
-			queue("free", nil),
-			queue("advised", &mill.AdvicePolicy{Decide: worldDecide, Validity: worldValidity}),
+			queue("free", 1, nil),
+			queue("advised", 0, &mill.AdvicePolicy{Decide: worldDecide, Validity: worldValidity}),
 		},
 		Services: []mill.Service{{Name: "pool"}},
 	}
@@ -187,7 +187,7 @@
 		term = w.leader.term + 1
 	}
 
-	bounds := Bounds{MaxLease: worldMaxLease, GangWait: worldGangWait}
+	bounds := Bounds{MaxLease: worldMaxLease, GangWait: worldGangWait, StopTime: worldStop}
 	w.leader = &leader{scheduler: New(bounds, term, w.now, w.state, place.Pack{}), term: term}
 
 	for _, e := range w.executors {
