Bound what a plan costs, and take calls before the data folder is open

New seeds that came while the data folder was read met a group that was nil.

Room is looked for only for as many steps as can be asked about, tickets and open questions name the workers to look at, and a plan is followed by a rest of three times its length. Five stores of 100 ms make a slow disk now, since three of 80 ms were seen for want of a processor. The role is empty until the folder is open.

TestCallsBeforeTheFolderIsOpen fails without the mend.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 
-	if request.Term != c.host.Role().Term {
+	if request.Term != c.role().Term {
 		return nil, merry.Prepend(mill.ErrNotPrimary, "another term", merry.NoCaptureStack())
 	}
 
@@ -264,7 +264,7 @@
 }
 
 func (c *Core) followReply(version uint64) *FollowReply {
-	role := c.host.Role()
+	role := c.role()
 	reply := &FollowReply{Leader: role.Leader.Address, Term: role.Term}
 
 	if role.Leading && c.runner.Load() == nil {
@@ -324,7 +324,7 @@
 func (c *Core) others() []string {
 	var addresses []string
 
-	for _, server := range c.host.Role().Members.Servers {
+	for _, server := range c.role().Members.Servers {
 		addresses = append(addresses, server.Address)
 	}
 
@@ -335,10 +335,18 @@
 	return slices.DeleteFunc(addresses, func(address string) bool { return address == c.config.Address })
 }
 
-// tell passes news on to the other processes of the core.
+// tell passes news on to the other processes of the core, once the data folder is open.
 func (c *Core) tell(news News) {
+	c.mu.Lock()
+	outbox := c.outbox
+	c.mu.Unlock()
+
+	if outbox == nil {
+		return
+	}
+
 	for _, address := range c.others() {
-		c.outbox.Send(address, news)
+		outbox.Send(address, news)
 	}
 }
 
@@ -356,7 +364,7 @@
 		return &mill.ReportReply{}, nil
 	}
 
-	reply := &mill.ReportReply{ReportTo: c.host.Role().Leader.Address}
+	reply := &mill.ReportReply{ReportTo: c.role().Leader.Address}
 	if c.runner.Load() == nil {
 		return reply, nil
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,6 +69,8 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
+	// seeds are the addresses of processes of the core that were told last.
+	seeds []string
 	version atomic.Uint64
 }
 
@@ -98,6 +100,7 @@
 		storage: storage,
 		machine: newMachine(),
 		changed: make(chan struct{}),
+		seeds:   config.Seeds,
 		placer:  place.Pack{},
 	}
 	c.link = NewLink(c.client, config.Seeds, config.Address)
@@ -174,13 +177,16 @@
 }
 
 func (c *Core) open(ctx context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
 	host, err := group.Open(ctx, group.Config{
 		Self: raft.Server{
 			VM:       hostOf(c.config.Address),
 			Identity: c.storage.Identity(),
 			Address:  c.config.Address,
 		},
-		Peers:   c.peers(c.config.Seeds),
+		Peers:   c.peers(c.seeds),
 		Storage: c.storage,
 		Client:  c.client,
 		Method:  MethodDeliver,
@@ -211,13 +217,35 @@
 	return peers
 }
 
-// SetSeeds replaces the addresses of processes of the core; Run must have begun.
+// SetSeeds replaces the addresses of processes of the core. Settings may change while
+// the data folder is still being read; the new seeds then hold from when it is open.
 func (c *Core) SetSeeds(seeds []string) error {
 	c.link.SetSeeds(seeds)
 
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.seeds = seeds
+	if c.host == nil {
+		return nil
+	}
+
 	return c.host.SetPeers(c.peers(seeds))
 }
 
+// role returns what this process is to the group; nothing before the data folder is open.
+func (c *Core) role() group.Role {
+	c.mu.Lock()
+	host := c.host
+	c.mu.Unlock()
+
+	if host == nil {
+		return group.Role{}
+	}
+
+	return host.Role()
+}
+
 // handOverTime bounds the search for a successor at a planned stop.
 const handOverTime = 1500 * time.Millisecond
 
@@ -236,7 +264,7 @@
 	limit, cancel := context.WithTimeout(behind, handOverTime)
 	defer cancel()
 
-	if c.host.Role().Leading {
+	if c.role().Leading {
 		c.host.HandOver(limit)
 	}
 
@@ -245,7 +273,7 @@
 
 // settled follows the role and publishes the setup; it runs on the driver's goroutine.
 func (c *Core) settled() {
-	role := c.host.Role()
+	role := c.role()
 
 	switch {
 	case role.Leading && role.Current && c.led != role.Term:
--- a/internal/core/path_test.go
+++ b/internal/core/path_test.go
@@ -254,3 +254,17 @@
 		assert.Equal(t, starts, 1, "%s", task)
 	}
 }
+
+// TestCallsBeforeTheFolderIsOpen expects new seeds and reports to be taken while a process
+// still reads its data folder, which takes long after a restart with a long log.
+func TestCallsBeforeTheFolderIsOpen(t *testing.T) {
+	process, err := core.New(core.Config{
+		VM: "vm", Address: "127.0.0.1:1", Seeds: []string{"127.0.0.1:1"}, Folder: t.TempDir(),
+	})
+	assert.NilError(t, err)
+
+	assert.NilError(t, process.SetSeeds([]string{"127.0.0.1:2"}))
+
+	_, err = process.ReportWorker(within(), &mill.WorkerReport{Status: &mill.WorkerStatus{ID: "w"}})
+	assert.NilError(t, err)
+}
--- a/internal/group/slow.go
+++ b/internal/group/slow.go
@@ -4,11 +4,11 @@
 
 const (
 	// slowSync is how long a leader may take to store entries: several syncs of a sound
-	// disk and a round trip between regions. Beyond it another voter commits sooner.
-	slowSync = 80 * time.Millisecond
-	// slowInARow is how many stores are slow before the lead is passed on: one or two
-	// are due to a snapshot, or to a process that was suspended.
-	slowInARow = 3
+	// disk and two round trips between regions. Beyond it another voter commits sooner.
+	slowSync = 100 * time.Millisecond
+	// slowInARow is how many stores are slow before the lead is passed on: a few are
+	// due to a snapshot, to a process that was suspended, or to one that waits for a processor.
+	slowInARow = 5
 	// handOverPause is the least time between two hand-overs for this reason, so that
 	// the lead does not go round where every disk is slow.
 	handOverPause = 5 * time.Second
--- a/internal/lead/clear.go
+++ b/internal/lead/clear.go
@@ -31,19 +31,19 @@
 // the large ones would never start. It answers pools in which tasks that need a whole
 // worker, or a gang of them, compete with small ones.
 func (s *Scheduler) clear(c *candidate, p *pass) {
-	pool := p.pools[c.queue.Service]
-	left := max(1, len(pool)/clearedShare) - p.cleared[c.queue.Service]
+	pool := p.pool(c)
+	left := max(1, len(pool.workers)/clearedShare) - pool.cleared
 
 	count := 1
 	if c.step.Gang {
 		count = len(c.waiting)
 	}
 
-	if count > left {
+	if count > left || !large(c.step.Reserves(), pool.least) {
 		return
 	}
 
-	chosen := s.soonest(c, p, pool, count)
+	chosen := s.soonest(c, p, pool.workers, count)
 	if len(chosen) < count || !c.claim.Starving() && chosen[count-1].wait > soonRoom {
 		return
 	}
@@ -55,8 +55,8 @@
 
 // clearOne keeps a worker for a step, and has the advisor asked in time for when it has room.
 func (s *Scheduler) clearOne(c *candidate, o *option, p *pass) {
-	p.cleared[c.queue.Service]++
-	p.kept[o.worker] = p.kept[o.worker].Add(c.step.Reserves())
+	p.pool(c).cleared++
+	o.worker.keep(c.step.Reserves())
 
 	for _, r := range o.stopped {
 		r.stopping = true
@@ -77,7 +77,7 @@
 	var options []option
 
 	for _, w := range pool {
-		if _, kept := p.kept[w]; !kept && s.mayClear(c, w) {
+		if w.kept == (mill.Resources{}) && s.mayClear(c, w) {
 			options = append(options, s.option(c, w, p))
 		}
 	}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cranberrymill/cranberrymill/internal/jobs"
@@ -147,49 +148,73 @@
 	wall  int64
 	state *jobs.State
 	setup *mill.Setup
-	pools map[string][]*worker
-	// kept is the room that is kept for steps which come first and wait for the advisor.
-	kept map[*worker]mill.Resources
-	// most is the most free room of any worker, by service and dimension, at the pass's begin.
-	most map[string]mill.Resources
-	// cleared counts the workers that are being cleared for large tasks, by service.
-	cleared map[string]int
+	pools map[string]*pool
+	// keeps is for how many more steps room may be looked for to ask the advisor about.
+	keeps int
 }
 
-// hasRoom reports whether a task of the step could fit on some worker. On a full
-// pool it spares the look at each worker for each of hundreds of steps.
-func (p *pass) hasRoom(c *candidate) bool {
-	most, ok := p.most[c.queue.Service]
-	if !ok {
-		for _, w := range p.pools[c.queue.Service] {
-			free := w.free()
-			most.MilliCores = max(most.MilliCores, free.MilliCores)
-			most.MemoryMiB = max(most.MemoryMiB, free.MemoryMiB)
-			most.Accelerators = max(most.Accelerators, free.Accelerators)
-		}
+// pool is the workers of one service that may be given work.
+type pool struct {
+	// workers are in a fixed order.
+	workers []*worker
+	// most is the most free room of any worker, and least the least capacity, in each dimension.
+	most  mill.Resources
+	least mill.Resources
+	// cleared counts the workers that are being cleared for large tasks.
+	cleared int
+}
+
+// noPool stands for a service without workers.
+var noPool = &pool{}
 
-		p.most[c.queue.Service] = most
+// pool returns the workers for a step.
+func (p *pass) pool(c *candidate) *pool {
+	if found, ok := p.pools[c.queue.Service]; ok {
+		return found
 	}
 
-	return c.step.Reserves().Fits(most)
+	return noPool
+}
+
+// add takes a worker into the pool.
+func (p *pool) add(w *worker) {
+	free, capacity := w.free(), w.status.Capacity
+
+	p.most.MilliCores = max(p.most.MilliCores, free.MilliCores)
+	p.most.MemoryMiB = max(p.most.MemoryMiB, free.MemoryMiB)
+	p.most.Accelerators = max(p.most.Accelerators, free.Accelerators)
+
+	if len(p.workers) == 0 {
+		p.least = capacity
+	}
+
+	p.least.MilliCores = min(p.least.MilliCores, capacity.MilliCores)
+	p.least.MemoryMiB = min(p.least.MemoryMiB, capacity.MemoryMiB)
+	p.least.Accelerators = min(p.least.Accelerators, capacity.Accelerators)
+
+	p.workers = append(p.workers, w)
 }
 
-func (p *pass) free(w *worker) mill.Resources {
-	return w.free().Sub(p.kept[w])
+// hasRoom reports whether a task of the step could fit on some worker. On a full
+// pool it spares the look at each worker for each of hundreds of steps.
+func (p *pass) hasRoom(c *candidate) bool {
+	return c.step.Reserves().Fits(p.pool(c).most)
 }
 
+// keepsBeside is for how many steps room is looked for beside those that can be asked
+// about at once: their turn comes while the next plan is made.
+const keepsBeside = 8
+
 // place returns the placements that are to be committed, and claims their room.
 func (s *Scheduler) place(candidates []*candidate, now time.Time, wall int64, state *jobs.State) []jobs.Command {
 	commands := make([]jobs.Command, 0, len(candidates))
 	p := &pass{
-		now:     now,
-		wall:    wall,
-		state:   state,
-		setup:   state.Setup(),
-		pools:   s.pools(now),
-		kept:    make(map[*worker]mill.Resources),
-		most:    make(map[string]mill.Resources),
-		cleared: make(map[string]int),
+		now:   now,
+		wall:  wall,
+		state: state,
+		setup: state.Setup(),
+		pools: s.pools(now),
+		keeps: len(s.freeCallers(now)) + keepsBeside,
 	}
 
 	for _, c := range candidates {
@@ -201,11 +226,15 @@
 
 		commands = append(commands, s.placeStep(c, p)...)
 
-		if c.advice != nil && len(c.waiting) > 0 {
+		if len(c.waiting) == 0 {
+			continue
+		}
+
+		if c.advice != nil {
 			s.keep(c, p)
 		}
 
-		if len(c.waiting) > 0 && len(c.wanted) == 0 {
+		if len(c.wanted) == 0 {
 			s.clear(c, p)
 		}
 	}
@@ -216,7 +245,17 @@
 // keep keeps room for a step that could run if the advisor allows it, so that
 // steps which come later do not take it meanwhile, and names the workers to ask
 // about: those that are known to be allowed, if they suffice, since they need no luck.
+// Days on which far more steps wait than can be asked about would take up the process,
+// so only those whose turn comes soon are looked at.
 func (s *Scheduler) keep(c *candidate, p *pass) {
+	if !c.advice.asking {
+		if p.keeps == 0 || !c.canAsk(p.now) {
+			return
+		}
+
+		p.keeps--
+	}
+
 	if s.keepOn(c, p, s.mayKeepAllowed) {
 		return
 	}
@@ -231,9 +270,9 @@
 		workers []*worker
 	)
 
-	for _, w := range p.pools[c.queue.Service] {
-		if c.suits(w) && c.step.Reserves().Fits(p.free(w)) && may(c, w, p) {
-			sites = append(sites, c.site(w, p.free(w)))
+	for _, w := range s.toAskAbout(c, p) {
+		if c.suits(w) && c.step.Reserves().Fits(w.unkept()) && may(c, w, p) {
+			sites = append(sites, c.site(w))
 			workers = append(workers, w)
 		}
 	}
@@ -244,7 +283,7 @@
 	}
 
 	for _, at := range chosen {
-		p.kept[workers[at]] = p.kept[workers[at]].Add(c.step.Reserves())
+		workers[at].keep(c.step.Reserves())
 	}
 
 	c.wanted = names(workers)
@@ -252,18 +291,46 @@
 	return true
 }
 
+// toAskAbout returns the workers that room may be kept on: those that the open question names, or all.
+func (s *Scheduler) toAskAbout(c *candidate, p *pass) []*worker {
+	if !c.advice.asking {
+		return p.pool(c).workers
+	}
+
+	return s.usableOf(c.advice.named, p.now)
+}
+
+// usableOf returns the workers of some ids that may be given work, in order of their ids.
+func (s *Scheduler) usableOf(ids []string, now time.Time) []*worker {
+	found := make([]*worker, 0, len(ids))
+
+	for _, id := range ids {
+		if w, ok := s.workers[id]; ok && w.usable(now) {
+			found = append(found, w)
+		}
+	}
+
+	slices.SortFunc(found, byID)
+
+	return found
+}
+
+func byID(a, b *worker) int {
+	return strings.Compare(a.status.ID, b.status.ID)
+}
+
 // mayKeepAllowed reports whether the advisor is known to allow the worker.
 func (s *Scheduler) mayKeepAllowed(c *candidate, w *worker, p *pass) bool {
 	allowed, valid := c.allows(w.status.ID, p.now)
 
-	return allowed && (!valid || c.step.Gang) && (!c.advice.asking || slices.Contains(c.advice.named, w.status.ID))
+	return allowed && (!valid || c.step.Gang)
 }
 
 // mayKeep reports whether the advisor may allow the worker: it has not refused it, and
 // is not being asked about others.
 func (s *Scheduler) mayKeep(c *candidate, w *worker, p *pass) bool {
 	if c.advice.asking {
-		return slices.Contains(c.advice.named, w.status.ID)
+		return true
 	}
 
 	allowed, valid := c.allows(w.status.ID, p.now)
@@ -271,24 +338,28 @@
 	return allowed && (!valid || c.step.Gang) || !allowed && !c.advice.asked[w.status.ID]
 }
 
-// pools returns the workers that may be given work, by service, in a fixed order.
-func (s *Scheduler) pools(now time.Time) map[string][]*worker {
-	pools := make(map[string][]*worker)
+// pools returns the workers that may be given work, by service, with nothing kept on them.
+func (s *Scheduler) pools(now time.Time) map[string]*pool {
+	usable := make([]*worker, 0, len(s.workers))
 
 	for _, w := range s.workers {
 		if w.usable(now) {
-			pools[w.status.Service] = append(pools[w.status.Service], w)
+			usable = append(usable, w)
 		}
 	}
 
-	for _, pool := range pools {
-		slices.SortFunc(pool, func(a, b *worker) int {
-			if a.status.ID < b.status.ID {
-				return -1
-			}
+	slices.SortFunc(usable, byID)
+
+	pools := make(map[string]*pool)
+
+	for _, w := range usable {
+		w.kept = mill.Resources{}
 
-			return 1
-		})
+		if pools[w.status.Service] == nil {
+			pools[w.status.Service] = &pool{}
+		}
+
+		pools[w.status.Service].add(w)
 	}
 
 	return pools
@@ -297,7 +368,7 @@
 func (s *Scheduler) placeStep(c *candidate, p *pass) []jobs.Command {
 	sites, workers := s.sites(c, p)
 	chosen := plan.Spread(sites, c.demand(), len(c.waiting), s.placer,
-		s.avoid(c, p.pools[c.queue.Service], p.now))
+		s.avoid(c, p.pool(c).workers, p.now))
 	if c.step.Gang && len(chosen) < len(c.waiting) {
 		return nil
 	}
@@ -366,20 +437,31 @@
 		workers []*worker
 	)
 
-	for _, w := range p.pools[c.queue.Service] {
-		if !w.status.HasLabel(c.step.Label) || !c.step.Reserves().Fits(p.free(w)) {
-			continue
+	for _, w := range s.ticketed(c, p) {
+		if c.suits(w) && c.step.Reserves().Fits(w.unkept()) {
+			sites = append(sites, c.site(w))
+			workers = append(workers, w)
 		}
+	}
 
-		if _, valid := c.allows(w.status.ID, p.now); !valid {
-			continue
-		}
+	return sites, workers
+}
 
-		sites = append(sites, c.site(w, p.free(w)))
-		workers = append(workers, w)
+// ticketed returns the workers that the step needs no more advice for.
+func (s *Scheduler) ticketed(c *candidate, p *pass) []*worker {
+	if c.advice == nil {
+		return p.pool(c).workers
 	}
 
-	return sites, workers
+	ids := make([]string, 0, len(c.advice.tickets))
+
+	for id := range c.advice.tickets {
+		if _, valid := c.allows(id, p.now); valid {
+			ids = append(ids, id)
+		}
+	}
+
+	return s.usableOf(ids, p.now)
 }
 
 func (w *worker) tasksOf(step mill.StepID) int {
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -18,6 +18,9 @@
 	runnerEvents = 1 << 14
 	// planPause is the least time between two plans, so that answers share one.
 	planPause = 3 * time.Millisecond
+	// planRest is the pause after a plan as a multiple of what it took, so that the rest of the
+	// process, the consensus before all, has most of the processor under any backlog.
+	planRest = 3
 	// planIdle is the longest time between two plans: lapses and retries are due then.
 	planIdle = 50 * time.Millisecond
 	// summaryTime is how often a line tells what the scheduler has in hand.
@@ -97,7 +100,7 @@
 		r.perform(&actions)
 		r.logEvents()
 		r.logSummary(now)
-		drive.Pause(r.context, planPause)
+		drive.Pause(r.context, max(planPause, planRest*time.Since(now)))
 	}
 }
 
--- a/internal/lead/step.go
+++ b/internal/lead/step.go
@@ -79,16 +79,21 @@
 	}
 }
 
-// site returns a worker with some free room as a place for the step's tasks.
-func (c *candidate) site(w *worker, free mill.Resources) plan.Site {
+// site returns a worker as a place for the step's tasks.
+func (c *candidate) site(w *worker) plan.Site {
+	mine := 0
+	if c.step.MaxPerWorker > 0 {
+		mine = w.tasksOf(c.id)
+	}
+
 	return plan.Site{
 		View: mill.WorkerView{
 			ID:       w.status.ID,
 			Rack:     w.status.Rack,
 			Capacity: w.status.Capacity,
-			Free:     free,
+			Free:     w.unkept(),
 		},
-		Mine:     w.tasksOf(c.id),
+		Mine:     mine,
 		Trial:    w.record.OnTrial(),
 		Busy:     len(w.runs) > 0,
 		Slowness: w.slowness.Factor(),
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -25,6 +25,8 @@
 	// runs holds the runs that may be alive there.
 	runs map[mill.TaskID]*run
 	used mill.Resources
+	// kept is the room that the current plan keeps for steps which come first and wait.
+	kept mill.Resources
 	// fillers is what tasks that fill would use of the cores.
 	fillers int64
 	clock   clock
@@ -62,6 +64,16 @@
 	return w.status.Capacity.Sub(w.used)
 }
 
+// unkept returns the free room that the current plan keeps for nothing.
+func (w *worker) unkept() mill.Resources {
+	return w.free().Sub(w.kept)
+}
+
+// keep keeps room from the steps that come later in the current plan.
+func (w *worker) keep(room mill.Resources) {
+	w.kept = w.kept.Add(room)
+}
+
 func (w *worker) add(r *run) {
 	w.runs[r.task] = r
 	w.used = w.used.Add(r.reserves)
