--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,7 +70,7 @@
 	mu      sync.Mutex
 	changed chan struct{}
 	// seeds are the addresses of processes of the core that were told last.
-	seeds []string
+	seeds   []string
 	version atomic.Uint64
 }
 
