--- a/internal/group/slow.go
+++ b/internal/group/slow.go
@@ -6,9 +6,10 @@
 	// slowSync is how long a leader may take to store entries: several syncs of a sound
 	// disk and two round trips between regions. Beyond it another voter commits sooner.
 	slowSync = 100 * time.Millisecond
-	// slowInARow is how many stores are slow before the lead is passed on: a few are
-	// due to a snapshot, to a process that was suspended, or to one that waits for a processor.
-	slowInARow = 5
+	// slowTotal is how much time slow stores in a row take up before the lead is passed
+	// on: single ones are due to a snapshot, to a process that was suspended, or to one that
+	// waits for a processor.
+	slowTotal = 600 * time.Millisecond
 	// handOverPause is the least time between two hand-overs for this reason, so that
 	// the lead does not go round where every disk is slow.
 	handOverPause = 5 * time.Second
@@ -17,7 +18,8 @@
 // slowDisk tells when a leader's own disk holds up what the others could commit. Its
 // zero value is ready.
 type slowDisk struct {
-	inARow int
+	// inARow is the time that the latest stores took, all of which were slow.
+	inARow time.Duration
 	passed time.Time
 }
 
@@ -30,9 +32,9 @@
 		return false
 	}
 
-	s.inARow++
+	s.inARow += took
 
-	if s.inARow < slowInARow || !s.passed.IsZero() && now.Sub(s.passed) < handOverPause {
+	if s.inARow < slowTotal || !s.passed.IsZero() && now.Sub(s.passed) < handOverPause {
 		return false
 	}
 
--- a/internal/lead/bounds.go
+++ b/internal/lead/bounds.go
@@ -31,9 +31,10 @@
 }
 
 // usualLease is how long a worker keeps its runs without hearing from the
-// scheduler: long enough for a change of leaders, an election of up to a second and a
-// round of renewals, and short enough that the tasks of a lost worker are soon back.
-const usualLease = 4 * time.Second
+// scheduler: long enough for all processes to be without power for some seconds, an
+// election and a round of renewals, and short enough that a lasting task of a lost worker
+// runs again within the nine seconds that the users bear.
+const usualLease = 6 * time.Second
 
 // Lease returns how long a worker keeps its runs without hearing from the scheduler.
 func (b *Bounds) Lease() time.Duration {
