Pace tasks that fill by the tails beside them, and keep the two apart

A filler's pace falls to a quarter while a tail beside it is over its target, to three quarters near it, and rises in steps of 12 points below seven tenths. Reports of workers on which both run are held back for half a second at the most. Placement keeps the two apart where it can.

Ruled out: stopping fillers, which would throw work away.

--- a/internal/lead/actions.go
+++ b/internal/lead/actions.go
@@ -14,6 +14,7 @@
 	Starts   []Start
 	Stops    []Stop
 	Renews   []Renew
+	Paces    []Pace
 	Asks     []Ask
 }
 
@@ -36,6 +37,12 @@
 	Order mill.RenewOrder
 }
 
+// Pace is an order to change how much a run may work.
+type Pace struct {
+	To    mill.WorkerRef
+	Order mill.PaceOrder
+}
+
 // Ask is a question to the advisor, sent from one caller's address.
 type Ask struct {
 	Caller  string
--- a/internal/lead/answers.go
+++ b/internal/lead/answers.go
@@ -162,6 +162,7 @@
 	}
 
 	w.contacted = true
+	w.looked = true
 	w.inherits = false
 	w.failures = 0
 	w.heard = now
@@ -252,7 +253,9 @@
 		r.checkpoint = row.Checkpoint
 	}
 
-	if row.Percent != r.percent || r.step.Lasting && row.Percent >= fullPercent {
+	r.gauge = row.Gauge
+
+	if r.slowed > 0 || row.Percent != r.percent || r.step.Lasting && row.Percent >= fullPercent {
 		r.percent = row.Percent
 		r.moved = now
 
--- a/internal/lead/event.go
+++ b/internal/lead/event.go
@@ -12,6 +12,8 @@
 	EventStop  EventKind = "stop answered"
 	EventEnd   EventKind = "run ended"
 	EventStill EventKind = "run stands still"
+	// EventPace tells of a run whose pace has changed, since it fills beside a serving one.
+	EventPace EventKind = "pace changed"
 	// EventYield tells of a run that is stopped for the step in the detail.
 	EventYield EventKind = "run yields"
 )
--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -29,6 +29,8 @@
 	stopAt  time.Time
 	fails   bool
 	percent float64
+	// slowed is by how much of full pace it is slowed down, in percent.
+	slowed int
 }
 
 // executor is a worker as the pages of the platform describe it.
@@ -201,7 +203,7 @@
 	reply.Ended = append(reply.Ended, e.ended...)
 
 	for _, a := range e.activities() {
-		row := mill.RunningRow{RunRef: a.ref, Percent: a.percent}
+		row := mill.RunningRow{RunRef: a.ref, Percent: a.percent, Gauge: e.gauge(a)}
 		if a.step.Checkpointing {
 			row.Checkpoint = fmt.Sprintf("%s-%d", a.ref.Task, a.done.Milliseconds())
 		}
@@ -212,6 +214,37 @@
 	return reply
 }
 
+func (e *executor) pace(order *mill.PaceOrder) mill.OrderReply {
+	if e.fenced(order.Fence) {
+		return e.reply(mill.OutcomeFenced)
+	}
+
+	if a, ok := e.running[order.Task]; ok && a.ref.Run == order.Run {
+		a.slowed = 100 - order.Percent
+	}
+
+	return e.reply(mill.OutcomeAccepted)
+}
+
+// gauge returns the tail of a serving task: half of its target, and as much again for
+// each core of the fillers beside it that work.
+func (e *executor) gauge(a *activity) float64 {
+	if a.step.TailTarget == 0 {
+		return 0
+	}
+
+	target := float64(a.step.TailTarget.Milliseconds())
+	tail := target / 2
+
+	for _, other := range e.running {
+		if other.step.Fills {
+			tail += target * float64(other.step.Each.MilliCores) / 1000 * float64(100-other.slowed) / 100
+		}
+	}
+
+	return tail
+}
+
 func (e *executor) end(a *activity, cause mill.EndCause) {
 	delete(e.running, a.ref.Task)
 
@@ -262,7 +295,7 @@
 }
 
 func (e *executor) work(a *activity, length time.Duration) {
-	a.done += length
+	a.done += length * time.Duration(100-a.slowed) / 100
 	a.percent = float64(100*a.done) / float64(a.needed)
 
 	if a.fails && a.done*3 > a.needed {
--- a/internal/lead/fuzz_test.go
+++ b/internal/lead/fuzz_test.go
@@ -91,6 +91,7 @@
 		if !d.lasting && alone {
 			d.lasting = true
 			step = mill.Step{Count: 2, Each: mill.Resources{MilliCores: 500, MemoryMiB: 100}, Lasting: true}
+			step.TailTarget = time.Duration(rapid.IntRange(0, 1).Draw(t, "serves")) * 40 * time.Millisecond
 		}
 	default:
 	}
--- a/internal/lead/give.go
+++ b/internal/lead/give.go
@@ -60,6 +60,7 @@
 
 	for _, w := range s.workers {
 		s.giveRenew(actions, w, now)
+		s.givePaces(actions, w, now)
 	}
 
 	s.giveStrays(actions, now)
@@ -149,6 +150,10 @@
 		order.Wait = min(renewWait, s.bounds.Lease()/3)
 	}
 
+	if w.shared() {
+		order.Wait = min(order.Wait, sharedLook)
+	}
+
 	return order
 }
 
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -51,6 +51,11 @@
 	percent float64
 	moved   time.Time
 	cause   mill.EndCause
+	// gauge is the latest tail of a serving task's response times in milliseconds.
+	gauge float64
+	// slowed is by how much of full pace the run is slowed down, in percent.
+	slowed   int
+	paceSent time.Time
 	// failedBefore says that an earlier run of the task has failed.
 	failedBefore bool
 }
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -139,6 +139,10 @@
 		r.submit(func() { r.renew(&actions.Renews[i]) })
 	}
 
+	for i := range actions.Paces {
+		r.submit(func() { r.pace(&actions.Paces[i]) })
+	}
+
 	for i := range actions.Asks {
 		r.submit(func() { r.ask(&actions.Asks[i]) })
 	}
@@ -160,6 +164,14 @@
 	r.post(func(now time.Time) { r.scheduler.StopAnswered(stop, reply, now) })
 }
 
+func (r *Runner) pace(pace *Pace) {
+	ctx, cancel := context.WithTimeout(r.context, r.scheduler.bounds.orderTime())
+	defer cancel()
+
+	reply := r.outside.Orders.Pace(ctx, pace.To, &pace.Order)
+	r.post(func(now time.Time) { r.scheduler.PaceAnswered(pace, reply, now) })
+}
+
 func (r *Runner) renew(renew *Renew) {
 	asked := time.Now()
 
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -29,7 +29,11 @@
 	kept mill.Resources
 	// fillers is what tasks that fill would use of the cores.
 	fillers int64
-	clock   clock
+	// serving counts the runs whose response times have a target.
+	serving int
+	// looked says that a report has come since paces were looked at.
+	looked bool
+	clock  clock
 	// until is the end of the latest lease given, by the worker's clock.
 	until int64
 	// lives counts the lives under the id that this scheduler has seen end.
@@ -78,9 +82,13 @@
 	w.runs[r.task] = r
 	w.used = w.used.Add(r.reserves)
 
-	if r.step != nil && r.step.Fills {
+	if r.step.Fills {
 		w.fillers += r.step.Each.MilliCores
 	}
+
+	if r.serves() {
+		w.serving++
+	}
 }
 
 func (w *worker) remove(r *run) {
@@ -91,9 +99,13 @@
 	delete(w.runs, r.task)
 	w.used = w.used.Sub(r.reserves)
 
-	if r.step != nil && r.step.Fills {
+	if r.step.Fills {
 		w.fillers -= r.step.Each.MilliCores
 	}
+
+	if r.serves() {
+		w.serving--
+	}
 }
 
 // usable reports whether the worker may be given new work.
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -336,6 +336,10 @@
 		w.sendRenew(l, &actions.Renews[i])
 	}
 
+	for i := range actions.Paces {
+		w.sendPace(l, &actions.Paces[i])
+	}
+
 	for i := range actions.Asks {
 		w.sendAsk(l, &actions.Asks[i])
 	}
@@ -347,6 +351,9 @@
 		return strings.Compare(a.Order.Task.String(), b.Order.Task.String())
 	})
 	slices.SortFunc(actions.Stops, func(a, b Stop) int { return strings.Compare(a.Run.Task.String(), b.Run.Task.String()) })
+	slices.SortFunc(actions.Paces, func(a, b Pace) int {
+		return strings.Compare(a.Order.Task.String(), b.Order.Task.String())
+	})
 	slices.SortFunc(actions.Renews, func(a, b Renew) int { return strings.Compare(a.To.ID, b.To.ID) })
 }
 
@@ -424,6 +431,18 @@
 	})
 }
 
+func (w *world) sendPace(l *leader, pace *Pace) {
+	var reply mill.OrderReply
+
+	w.order(pace.To.ID, func(e *executor, _ bool) { reply = e.pace(&pace.Order) }, func(answered bool) {
+		if !answered {
+			reply = mill.OrderReply{}
+		}
+
+		l.scheduler.PaceAnswered(pace, reply, w.now)
+	})
+}
+
 func (w *world) sendRenew(l *leader, renew *Renew) {
 	var reply mill.RenewReply
 
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -13,6 +13,8 @@
 	Trial bool
 	// Busy says that the worker has any task.
 	Busy bool
+	// Shares says that the task would run beside tasks that it disturbs or that disturb it.
+	Shares bool
 	// Slowness is the worker's time for a run as a multiple of the usual one.
 	Slowness float64
 }
@@ -38,6 +40,10 @@
 // worker that takes a quarter longer is as bad as one that is empty instead of half full.
 const slownessScore = 4
 
+// sharesScore is what tasks that disturb each other count against how well a task fits:
+// more than all of that, but less than the right rack.
+const sharesScore = 200
+
 // Best returns the index of the site with the highest score that can take one
 // more task, or -1. The avoid function names sites that the task must not go to.
 func Best(sites []Site, demand *Demand, placer mill.Placer, avoid func(worker string) bool) int {
@@ -51,6 +57,10 @@
 		}
 
 		score := placer.Score(&site.View, demand.Each) - slownessScore*demand.Hurry*site.Slowness
+		if site.Shares {
+			score -= sharesScore
+		}
+
 		if demand.NearRack != "" && site.View.Rack == demand.NearRack {
 			score += rackWeight
 		}
