Leave headroom in a pool for urgent work, and judge a slow disk by three stores or more

And a process that woke from a freeze took its one long store for a slow disk.

Steps whose job has twice its remaining work as slack, or earns nothing any more, start only while 15 percent of the pool is free (plan.MayStart).

Ruled out: stopping tide-plan tasks for these steps, since a stop takes up to 0.9 s and the steps 0.7 s.

--- a/internal/group/slow.go
+++ b/internal/group/slow.go
@@ -7,9 +7,10 @@
 	// disk and two round trips between regions. Beyond it another voter commits sooner.
 	slowSync = 100 * time.Millisecond
 	// slowTotal is how much time slow stores in a row take up before the lead is passed
-	// on: single ones are due to a snapshot, to a process that was suspended, or to one that
-	// waits for a processor.
-	slowTotal = 600 * time.Millisecond
+	// on, and slowStores how many they are at the least: single ones are due to a snapshot, to
+	// a process that was suspended, or to one that waits for a processor.
+	slowTotal  = 600 * time.Millisecond
+	slowStores = 3
 	// handOverPause is the least time between two hand-overs for this reason, so that
 	// the lead does not go round where every disk is slow.
 	handOverPause = 5 * time.Second
@@ -20,6 +21,7 @@
 type slowDisk struct {
 	// inARow is the time that the latest stores took, all of which were slow.
 	inARow time.Duration
+	stores int
 	passed time.Time
 }
 
@@ -27,18 +29,19 @@
 // whether it should pass the lead on.
 func (s *slowDisk) observe(took time.Duration, now time.Time) bool {
 	if took < slowSync {
-		s.inARow = 0
+		s.inARow, s.stores = 0, 0
 
 		return false
 	}
 
 	s.inARow += took
+	s.stores++
 
-	if s.inARow < slowTotal || !s.passed.IsZero() && now.Sub(s.passed) < handOverPause {
+	if s.inARow < slowTotal || s.stores < slowStores || !s.passed.IsZero() && now.Sub(s.passed) < handOverPause {
 		return false
 	}
 
-	s.inARow = 0
+	s.inARow, s.stores = 0, 0
 	s.passed = now
 
 	return true
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -160,6 +160,9 @@
 	// most is the most free room of any worker, and least the least capacity, in each dimension.
 	most  mill.Resources
 	least mill.Resources
+	// free is what all workers together have left, and capacity all that they have.
+	free     mill.Resources
+	capacity mill.Resources
 	// cleared counts the workers that are being cleared for large tasks.
 	cleared int
 }
@@ -192,9 +195,16 @@
 	p.least.MemoryMiB = min(p.least.MemoryMiB, capacity.MemoryMiB)
 	p.least.Accelerators = min(p.least.Accelerators, capacity.Accelerators)
 
+	p.free = p.free.Add(free)
+	p.capacity = p.capacity.Add(capacity)
 	p.workers = append(p.workers, w)
 }
 
+// take charges the pool with a task.
+func (p *pool) take(each mill.Resources) {
+	p.free = p.free.Sub(each)
+}
+
 // hasRoom reports whether a task of the step could fit on some worker. On a full
 // pool it spares the look at each worker for each of hundreds of steps.
 func (p *pass) hasRoom(c *candidate) bool {
@@ -218,6 +228,10 @@
 	}
 
 	for _, c := range candidates {
+		if !plan.MayStart(&c.claim, p.pool(c).free, p.pool(c).capacity) {
+			continue
+		}
+
 		if !p.hasRoom(c) {
 			s.clear(c, p)
 
@@ -380,6 +394,8 @@
 
 	for index, at := range chosen {
 		r := s.newRun(c, placed[index], workers[at], number)
+		p.pool(c).take(c.step.Reserves())
+
 		commands = append(commands, jobs.Command{Place: &jobs.Place{
 			Task:   r.task,
 			Run:    r.number,
