Carry out waves of upkeep

Waves are in the log; the leader lists the provider's machines while one is open, keeps a machine whose turn has come from new work as long as the wave's time allows, and orders its upkeep unless more tasks of a lasting step would be away than it can miss. An order without an answer keeps the machine counted as down and is given again. A new leader waits for the time within which two holders must not take turns.

Ruled out: moving tasks by hand before the upkeep, since there is no such order.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -25,6 +25,8 @@
 	wire.Handle(server, MethodPending, c.pending)
 	wire.Handle(server, MethodConfigure, c.configure)
 	wire.Handle(server, MethodSetup, c.setup)
+	wire.Handle(server, MethodWave, c.wave)
+	wire.Handle(server, MethodWaveState, c.waveState)
 	wire.Handle(server, MethodFollow, c.follow)
 	wire.Handle(server, MethodAdvise, NewAdviseHandler(c.config.Advisor))
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,8 @@
 	// Answers hands Orders out with the answers to reports; nil where they are given by calls.
 	Answers *mail.Box
 	Advisor mill.Advisor
+	// Machines is the provider's side; nil where there is none.
+	Machines mill.Machines
 }
 
 // poolSize bounds the orders and questions in flight.
@@ -325,7 +327,10 @@
 func (c *Core) schedule(ctx context.Context, term uint64, began time.Time) {
 	scheduler := lead.New(c.config.Bounds, term, began, c.machine.state, c.placer)
 	runner := lead.NewRunner(ctx, scheduler, lead.Outside{
-		Orders:  c.config.Orders,
+		Orders: c.config.Orders,
+
+		Machines: c.config.Machines,
+
 		Advise:  c.advise,
 		Propose: c.propose,
 		View:    c.machine.view,
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -13,6 +13,8 @@
 	MethodPending   = "core.Pending"
 	MethodConfigure = "core.Configure"
 	MethodSetup     = "core.Setup"
+	MethodWave      = "core.Wave"
+	MethodWaveState = "core.WaveState"
 	MethodFollow    = "core.Follow"
 	MethodPassOn    = "core.PassOn"
 	MethodAdvise    = "core.Advise"
@@ -57,6 +59,19 @@
 // ConfigureReply answers a change of the setup.
 type ConfigureReply struct{}
 
+// WaveReply answers a mill.Wave that is to be stored.
+type WaveReply struct{}
+
+// WaveStateRequest asks how far a wave is.
+type WaveStateRequest struct {
+	Number int
+}
+
+// WaveStateReply answers a WaveStateRequest.
+type WaveStateReply struct {
+	Complete bool
+}
+
 // SetupRequest asks for the newest setup.
 type SetupRequest struct{}
 
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -13,6 +13,10 @@
 	Know *mill.WorkerStatus `cbor:"6,keyasint,omitempty"`
 	// Forget drops the record of the worker of this id.
 	Forget string `cbor:"7,keyasint,omitempty"`
+	// StartWave accepts a wave of upkeep.
+	StartWave *mill.Wave `cbor:"8,keyasint,omitempty"`
+	// Upkeep records that a machine of a wave has begun its upkeep, or stays without.
+	Upkeep *Upkeep `cbor:"9,keyasint,omitempty"`
 }
 
 // Batch is what one entry of the replicated log holds.
@@ -49,6 +53,12 @@
 	Checkpoint string        `cbor:"4,keyasint,omitempty"`
 }
 
+// Upkeep settles one machine of a wave.
+type Upkeep struct {
+	Wave    int    `cbor:"1,keyasint"`
+	Machine string `cbor:"2,keyasint"`
+}
+
 // Result is what a command came to.
 type Result uint8
 
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -28,6 +28,8 @@
 	// Workers holds what was recorded of the workers, so that a leader can call them
 	// before they report, after all processes were restarted.
 	Workers map[string]*mill.WorkerStatus `cbor:"5,keyasint,omitempty"`
+	// Waves holds the waves of upkeep by number.
+	Waves map[int]*Wave `cbor:"6,keyasint,omitempty"`
 }
 
 // NewState returns a state without a setup or jobs.
@@ -87,6 +89,10 @@
 		delete(s.content.Workers, command.Forget)
 
 		return ResultApplied
+	case command.StartWave != nil:
+		return s.startWave(command.StartWave)
+	case command.Upkeep != nil:
+		return s.settle(command.Upkeep)
 	default:
 		return ResultObsolete
 	}
--- a/internal/jobs/state_test.go
+++ b/internal/jobs/state_test.go
@@ -327,3 +327,24 @@
 	assert.NilError(t, again.Load(data))
 	assert.DeepEqual(t, again.Workers(), map[string]*mill.WorkerStatus{"b": {ID: "b", Address: "h:2"}})
 }
+
+// TestWaveIsCompleteOnceAllAreSettled expects a wave to be known by its number for good, and to be
+// complete when each of its machines is settled.
+func TestWaveIsCompleteOnceAllAreSettled(t *testing.T) {
+	state := NewState()
+	wave := &mill.Wave{Number: 3, Machines: []string{"b", "a", "b"}, Duration: 1, MaxAtOnce: 1}
+	assert.Equal(t, state.Apply(&Command{StartWave: wave}), ResultApplied)
+	assert.Equal(t, state.Apply(&Command{Upkeep: &Upkeep{Wave: 3, Machine: "c"}}), ResultObsolete)
+	assert.Equal(t, state.Apply(&Command{Upkeep: &Upkeep{Wave: 3, Machine: "a"}}), ResultApplied)
+	assert.Equal(t, state.Apply(&Command{StartWave: wave}), ResultApplied)
+	assert.Equal(t, len(state.OpenWaves()), 1)
+
+	data, err := state.Save()
+	assert.NilError(t, err)
+	assert.NilError(t, state.Load(data))
+	assert.Equal(t, state.Apply(&Command{Upkeep: &Upkeep{Wave: 3, Machine: "b"}}), ResultApplied)
+	assert.Equal(t, len(state.OpenWaves()), 0)
+
+	found, ok := state.Wave(3)
+	assert.Assert(t, ok && found.Complete())
+}
--- a/internal/lead/actions.go
+++ b/internal/lead/actions.go
@@ -16,6 +16,9 @@
 	Renews   []Renew
 	Paces    []Pace
 	Asks     []Ask
+	Upkeeps  []Upkeep
+	// ListMachines says that the provider's list of machines is wanted.
+	ListMachines bool
 }
 
 // Start is an order to start a run.
@@ -43,6 +46,13 @@
 	Order mill.PaceOrder
 }
 
+// Upkeep is an order to begin a machine's upkeep.
+type Upkeep struct {
+	Wave    int
+	Machine string
+	Fence   uint64
+}
+
 // Ask is a question to the advisor, sent from one caller's address.
 type Ask struct {
 	Caller  string
--- a/internal/lead/bounds.go
+++ b/internal/lead/bounds.go
@@ -10,6 +10,10 @@
 	GangWait time.Duration
 	// StopTime is how long a stop takes at the most; 0 where nothing is stopped for other work.
 	StopTime time.Duration
+	// UpkeepTime is how long a machine is down for its upkeep, and HolderTime the least time
+	// between orders for one machine from two processes.
+	UpkeepTime time.Duration
+	HolderTime time.Duration
 	// OrderTime is how long an order may stay unanswered before it is given again; 0 for
 	// that of orders which are given by calls.
 	OrderTime time.Duration
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -319,7 +319,7 @@
 	found := make([]*worker, 0, len(ids))
 
 	for _, id := range ids {
-		if w, ok := s.workers[id]; ok && w.usable(now) {
+		if w, ok := s.workers[id]; ok && w.usable(now) && !s.drains(w) {
 			found = append(found, w)
 		}
 	}
@@ -357,7 +357,7 @@
 	usable := make([]*worker, 0, len(s.workers))
 
 	for _, w := range s.workers {
-		if w.usable(now) {
+		if w.usable(now) && !s.drains(w) {
 			usable = append(usable, w)
 		}
 	}
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -32,6 +32,8 @@
 // Outside is what a runner needs of the process that it runs in.
 type Outside struct {
 	Orders mill.WorkerOrders
+	// Machines is the provider's side; nil where there is none.
+	Machines mill.Machines
 	// Advise asks the advisor from a caller's address.
 	Advise func(ctx context.Context, ask *Ask) (*mill.Advice, error)
 	// Propose has commands committed and then calls done.
@@ -143,6 +145,14 @@
 		r.submit(func() { r.pace(&actions.Paces[i]) })
 	}
 
+	for i := range actions.Upkeeps {
+		r.submit(func() { r.upkeep(&actions.Upkeeps[i]) })
+	}
+
+	if actions.ListMachines {
+		r.submit(r.list)
+	}
+
 	for i := range actions.Asks {
 		r.submit(func() { r.ask(&actions.Asks[i]) })
 	}
@@ -182,6 +192,42 @@
 	r.post(func(now time.Time) { r.scheduler.RenewAnswered(renew, &reply, asked, now) })
 }
 
+// providerTime bounds a call of the provider, who may be slow.
+const providerTime = 2 * time.Second
+
+func (r *Runner) upkeep(order *Upkeep) {
+	ctx, cancel := context.WithTimeout(r.context, providerTime)
+	defer cancel()
+
+	outcome := mill.UpkeepUnanswered
+	if r.outside.Machines != nil {
+		outcome = r.outside.Machines.Upkeep(ctx, order.Machine, order.Wave, order.Fence)
+	}
+
+	log.Info().Str("machine", order.Machine).Int("wave", order.Wave).Str("outcome", outcome.String()).Msg("upkeep ordered")
+	r.post(func(now time.Time) { r.scheduler.UpkeepAnswered(order, outcome, now) })
+}
+
+func (r *Runner) list() {
+	asked := time.Now()
+
+	ctx, cancel := context.WithTimeout(r.context, providerTime)
+	defer cancel()
+
+	var machines []mill.Machine
+
+	if r.outside.Machines != nil {
+		listed, err := r.outside.Machines.List(ctx)
+		if err != nil {
+			log.Warn().Err(err).Msg("the provider did not list its machines")
+		}
+
+		machines = listed
+	}
+
+	r.post(func(time.Time) { r.scheduler.MachinesListed(machines, asked) })
+}
+
 func (r *Runner) ask(ask *Ask) {
 	ctx, cancel := context.WithTimeout(r.context, ask.Limit)
 	defer cancel()
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -26,6 +26,14 @@
 	ends      []ended
 	// strays are runs that workers have and nobody wants.
 	strays map[mill.RunRef]stray
+	// machines is the provider's list of a time, listing says that it is being asked for.
+	machines map[string]mill.Machine
+	listed   time.Time
+	listing  bool
+	// upkeeps holds the machines whose turn has come in a wave, and settle the orders
+	// whose machines are to be recorded as settled.
+	upkeeps map[string]*upkeep
+	settle  []Upkeep
 	// forgotten lists silent workers whose records are to be dropped.
 	forgotten []string
 	events    []Event
@@ -68,6 +76,7 @@
 		advice:  make(map[mill.StepID]*advice),
 		callers: make(map[string]*caller),
 		strays:  make(map[mill.RunRef]stray),
+		upkeeps: make(map[string]*upkeep),
 
 		retrying: make(map[mill.TaskID]time.Time),
 	}
@@ -207,6 +216,8 @@
 	candidates := s.candidates(wall, state)
 	actions.Commands = append(actions.Commands, s.place(candidates, now, wall, state)...)
 	actions.Commands = append(actions.Commands, s.record()...)
+	actions.Commands = append(actions.Commands, s.takeSettled()...)
+	s.upkeep(&actions, now, state)
 	actions.Asks = s.ask(candidates, now)
 	s.waitingSteps = countWaiting(candidates)
 	s.give(&actions, now)
@@ -354,6 +365,8 @@
 			s.endCommitted(commands[i].End, err == nil, now)
 		case commands[i].Know != nil, commands[i].Forget != "":
 			s.recordCommitted(&commands[i], err == nil)
+		case commands[i].Upkeep != nil && err != nil:
+			s.settle = append(s.settle, Upkeep{Wave: commands[i].Upkeep.Wave, Machine: commands[i].Upkeep.Machine})
 		default:
 		}
 	}
--- /dev/null
+++ b/internal/lead/upkeep.go
@@ -0,0 +1,277 @@
+package lead
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/plan"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+const (
+	// listPause is the pause between two looks at the provider's machines while a wave is
+	// open; each look is paid for.
+	listPause = 200 * time.Millisecond
+	// upkeepRetry is the pause before an order for upkeep is given again.
+	upkeepRetry = 500 * time.Millisecond
+)
+
+// upkeep is one machine of a wave whose turn has come.
+type upkeep struct {
+	wave int
+	// worker is the life that the upkeep ends.
+	worker string
+	// drained is since when the machine gets no new work.
+	drained time.Time
+	// ordered says that an order was given, so that the machine may be down.
+	ordered  bool
+	inFlight bool
+	next     time.Time
+	// begun is when the provider said that the upkeep has begun or is done.
+	begun time.Time
+}
+
+// MachinesListed takes note of the provider's machines, which were asked for at a time;
+// nil says that there was no answer.
+func (s *Scheduler) MachinesListed(machines []mill.Machine, asked time.Time) {
+	s.listing = false
+
+	if machines == nil {
+		return
+	}
+
+	s.machines = make(map[string]mill.Machine, len(machines))
+	s.listed = asked
+
+	for _, machine := range machines {
+		s.machines[machine.ID] = machine
+	}
+
+	for id, u := range s.upkeeps {
+		machine, ok := s.machines[id]
+		if !ok || u.begun.IsZero() || !asked.After(u.begun) {
+			continue
+		}
+
+		if machine.State == mill.MachineUp && machine.Worker == u.worker {
+			continue
+		}
+
+		// The life that ran there has ended with all its runs.
+		if w, known := s.workers[u.worker]; known {
+			w.gone = true
+		}
+	}
+}
+
+// upkeep returns what waves of upkeep need now: records of machines that are settled, orders,
+// and a look at the machines. A new leader waits until orders of an earlier one are too
+// old to be taken for turns between two of them.
+func (s *Scheduler) upkeep(actions *Actions, now time.Time, state *jobs.State) {
+	waves := state.OpenWaves()
+	if len(waves) == 0 {
+		clear(s.upkeeps)
+
+		return
+	}
+
+	if !s.listing && now.Sub(s.listed) >= listPause {
+		s.listing = true
+		actions.ListMachines = true
+	}
+
+	if s.listed.IsZero() || now.Sub(s.began) < s.bounds.HolderTime {
+		return
+	}
+
+	for _, wave := range waves {
+		s.advance(actions, wave, now, state)
+	}
+}
+
+// advance moves one wave on.
+func (s *Scheduler) advance(actions *Actions, wave *jobs.Wave, now time.Time, state *jobs.State) {
+	taken := 0
+
+	for _, id := range wave.Plan.Machines {
+		u, turn := s.upkeeps[id]
+		_, exists := s.machines[id]
+
+		switch {
+		case !exists && !wave.Settled[id]:
+			actions.Commands = append(actions.Commands, settled(wave, id))
+		case turn && s.back(id, u):
+			delete(s.upkeeps, id)
+		case turn:
+			taken++
+
+			s.order(actions, wave, id, u, now, state)
+		default:
+		}
+	}
+
+	for _, id := range s.nextTurns(wave) {
+		if taken == wave.Plan.MaxAtOnce {
+			return
+		}
+
+		taken++
+		s.upkeeps[id] = &upkeep{wave: wave.Plan.Number, worker: s.machines[id].Worker, drained: now}
+	}
+}
+
+func settled(wave *jobs.Wave, machine string) jobs.Command {
+	return jobs.Command{Upkeep: &jobs.Upkeep{Wave: wave.Plan.Number, Machine: machine}}
+}
+
+// back reports whether a machine is up again with another life after its upkeep.
+func (s *Scheduler) back(id string, u *upkeep) bool {
+	machine := s.machines[id]
+
+	return !u.begun.IsZero() && s.listed.After(u.begun.Add(s.bounds.UpkeepTime)) && machine.State == mill.MachineUp
+}
+
+// nextTurns returns the machines of a wave whose turn can come, those with the least work first.
+func (s *Scheduler) nextTurns(wave *jobs.Wave) []string {
+	var next []string
+
+	for _, id := range wave.Plan.Machines {
+		machine, exists := s.machines[id]
+		if _, turn := s.upkeeps[id]; turn || wave.Settled[id] || !exists || machine.State != mill.MachineUp {
+			continue
+		}
+
+		next = append(next, id)
+	}
+
+	slices.SortStableFunc(next, func(a, b string) int { return cmp.Compare(s.work(a), s.work(b)) })
+
+	return next
+}
+
+// work returns the cores that a machine's tasks use.
+func (s *Scheduler) work(machine string) int64 {
+	w, ok := s.workers[s.machines[machine].Worker]
+	if !ok {
+		return 0
+	}
+
+	return w.used.MilliCores
+}
+
+// order has a machine's upkeep begin once its tasks have had time to end.
+func (s *Scheduler) order(actions *Actions, wave *jobs.Wave, id string, u *upkeep, now time.Time, state *jobs.State) {
+	if u.inFlight || !u.begun.IsZero() || now.Before(u.next) {
+		return
+	}
+
+	w, known := s.workers[u.worker]
+	busy := known && len(w.runs) > 0
+	drain := plan.DrainTime(wave.Plan.Duration, len(wave.Plan.Machines), wave.Plan.MaxAtOnce, s.bounds.UpkeepTime)
+
+	if busy && !u.ordered && (now.Sub(u.drained) < drain || !s.mayEnd(w, state)) {
+		return
+	}
+
+	u.ordered = true
+	u.inFlight = true
+
+	actions.Upkeeps = append(actions.Upkeeps, Upkeep{Wave: wave.Plan.Number, Machine: id, Fence: s.fence >> livesBits})
+}
+
+// mayEnd reports whether all that runs on a worker may be ended by planned work.
+func (s *Scheduler) mayEnd(w *worker, state *jobs.State) bool {
+	ends := make(map[mill.StepID]int)
+
+	for id := range w.runs {
+		ends[id.StepID]++
+	}
+
+	for id, count := range ends {
+		job, ok := state.Job(id.Job)
+		if !ok || job.Over() {
+			continue
+		}
+
+		step := &job.Work.Steps[id.Step]
+		if !plan.MayTakeAway(count, s.away(id, step), step.MayMiss) {
+			return false
+		}
+	}
+
+	return true
+}
+
+// away counts the tasks of a step that are not at work.
+func (s *Scheduler) away(id mill.StepID, step *mill.Step) int {
+	away := 0
+
+	for index := range step.Count {
+		r, ok := s.runs[id.Task(index)]
+		if !ok || r.phase != runAlive || r.stopping || r.percent < fullPercent || s.mayHaveEnded(r.worker) {
+			away++
+		}
+	}
+
+	return away
+}
+
+// mayHaveEnded reports whether a worker may have ended by an order for upkeep.
+func (s *Scheduler) mayHaveEnded(w *worker) bool {
+	u := s.upkeepOf(w)
+
+	return u != nil && u.ordered
+}
+
+// drains reports whether a worker's machine is kept from new work for its upkeep.
+func (s *Scheduler) drains(w *worker) bool {
+	return s.upkeepOf(w) != nil
+}
+
+func (s *Scheduler) upkeepOf(w *worker) *upkeep {
+	for _, u := range s.upkeeps {
+		if u.worker == w.status.ID {
+			return u
+		}
+	}
+
+	return nil
+}
+
+// UpkeepAnswered takes note of the provider's answer to an order for upkeep.
+func (s *Scheduler) UpkeepAnswered(order *Upkeep, outcome mill.UpkeepOutcome, now time.Time) {
+	u, ok := s.upkeeps[order.Machine]
+	if !ok || u.wave != order.Wave {
+		return
+	}
+
+	u.inFlight = false
+	u.next = now.Add(upkeepRetry)
+
+	switch outcome {
+	case mill.UpkeepBegun:
+		u.begun = now
+		s.settle = append(s.settle, *order)
+	case mill.UpkeepNone:
+		delete(s.upkeeps, order.Machine)
+		s.settle = append(s.settle, *order)
+	case mill.UpkeepBusy:
+		// Another order came first, or the machine leaves: the next look tells.
+		delete(s.upkeeps, order.Machine)
+	default:
+	}
+}
+
+// takeSettled returns the records of machines whose upkeep has begun.
+func (s *Scheduler) takeSettled() []jobs.Command {
+	commands := make([]jobs.Command, 0, len(s.settle))
+	for _, order := range s.settle {
+		commands = append(commands, jobs.Command{Upkeep: &jobs.Upkeep{Wave: order.Wave, Machine: order.Machine}})
+	}
+
+	s.settle = nil
+
+	return commands
+}
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -83,6 +83,8 @@
 	failures  map[mill.TaskID]int
 	poison    map[string]bool
 	calm      bool
+	// provider is nil in worlds without waves of upkeep.
+	provider *provider
 	// deaf leaders begin before any worker has reported to them.
 	deaf    bool
 	choices uint64
@@ -187,7 +189,7 @@
 		term = w.leader.term + 1
 	}
 
-	bounds := Bounds{MaxLease: worldMaxLease, GangWait: worldGangWait, StopTime: worldStop}
+	bounds := Bounds{MaxLease: worldMaxLease, GangWait: worldGangWait, StopTime: worldStop, UpkeepTime: worldUpkeep}
 	w.leader = &leader{scheduler: New(bounds, term, w.now, w.state, place.Pack{}), term: term}
 
 	for _, e := range w.executors {
@@ -320,6 +322,10 @@
 
 	sortActions(&actions)
 
+	if w.provider != nil {
+		w.provider.carryOut(&actions)
+	}
+
 	if len(actions.Commands) > 0 {
 		w.log = append(w.log, entry{at: w.now.Add(20 * time.Millisecond), by: l, commands: actions.Commands})
 	}
--- a/pkg/mill/cluster.go
+++ b/pkg/mill/cluster.go
@@ -70,4 +70,8 @@
 	ReportWorker(ctx context.Context, report *WorkerReport) (*ReportReply, error)
 	// RemoveWorker takes note of a worker's planned end.
 	RemoveWorker(ctx context.Context, id string) error
+	// StartWave stores a wave of upkeep; one whose number is known changes nothing.
+	StartWave(ctx context.Context, wave *Wave) error
+	// WaveComplete reports whether each machine of a wave has begun its upkeep, or returns ErrNotFound.
+	WaveComplete(ctx context.Context, number int) (bool, error)
 }
