--- a/internal/group/slow.go
+++ b/internal/group/slow.go
@@ -19,9 +19,10 @@
 // slowDisk tells when a leader's own disk holds up what the others could commit. Its
 // zero value is ready.
 type slowDisk struct {
-	// inARow is the time that the latest stores took, all of which were slow.
-	inARow time.Duration
+	// spent is the time that the latest stores took, all of which were slow, and stores their number.
+	spent  time.Duration
 	stores int
+	// passed is when the lead was passed on last.
 	passed time.Time
 }
 
@@ -29,19 +30,19 @@
 // whether it should pass the lead on.
 func (s *slowDisk) observe(took time.Duration, now time.Time) bool {
 	if took < slowSync {
-		s.inARow, s.stores = 0, 0
+		s.spent, s.stores = 0, 0
 
 		return false
 	}
 
-	s.inARow += took
+	s.spent += took
 	s.stores++
 
-	if s.inARow < slowTotal || s.stores < slowStores || !s.passed.IsZero() && now.Sub(s.passed) < handOverPause {
+	if s.spent < slowTotal || s.stores < slowStores || !s.passed.IsZero() && now.Sub(s.passed) < handOverPause {
 		return false
 	}
 
-	s.inARow, s.stores = 0, 0
+	s.spent, s.stores = 0, 0
 	s.passed = now
 
 	return true
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -30,10 +30,10 @@
 	machines map[string]mill.Machine
 	listed   time.Time
 	listing  bool
-	// upkeeps holds the machines whose turn has come in a wave, and settle the orders
+	// upkeeps holds the machines whose turn has come in a wave, and begunUpkeeps the orders
 	// whose machines are to be recorded as settled.
-	upkeeps map[string]*upkeep
-	settle  []Upkeep
+	upkeeps      map[string]*upkeep
+	begunUpkeeps []Upkeep
 	// forgotten lists silent workers whose records are to be dropped.
 	forgotten []string
 	events    []Event
@@ -366,7 +366,7 @@
 		case commands[i].Know != nil, commands[i].Forget != "":
 			s.recordCommitted(&commands[i], err == nil)
 		case commands[i].Upkeep != nil && err != nil:
-			s.settle = append(s.settle, Upkeep{Wave: commands[i].Upkeep.Wave, Machine: commands[i].Upkeep.Machine})
+			s.begunUpkeeps = append(s.begunUpkeeps, Upkeep{Wave: commands[i].Upkeep.Wave, Machine: commands[i].Upkeep.Machine})
 		default:
 		}
 	}
--- a/internal/lead/upkeep.go
+++ b/internal/lead/upkeep.go
@@ -253,10 +253,10 @@
 	switch outcome {
 	case mill.UpkeepBegun:
 		u.begun = now
-		s.settle = append(s.settle, *order)
+		s.begunUpkeeps = append(s.begunUpkeeps, *order)
 	case mill.UpkeepNone:
 		delete(s.upkeeps, order.Machine)
-		s.settle = append(s.settle, *order)
+		s.begunUpkeeps = append(s.begunUpkeeps, *order)
 	case mill.UpkeepBusy:
 		// Another order came first, or the machine leaves: the next look tells.
 		delete(s.upkeeps, order.Machine)
@@ -266,12 +266,12 @@
 
 // takeSettled returns the records of machines whose upkeep has begun.
 func (s *Scheduler) takeSettled() []jobs.Command {
-	commands := make([]jobs.Command, 0, len(s.settle))
-	for _, order := range s.settle {
+	commands := make([]jobs.Command, 0, len(s.begunUpkeeps))
+	for _, order := range s.begunUpkeeps {
 		commands = append(commands, jobs.Command{Upkeep: &jobs.Upkeep{Wave: order.Wave, Machine: order.Machine}})
 	}
 
-	s.settle = nil
+	s.begunUpkeeps = nil
 
 	return commands
 }
