--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/panjf2000/ants/v2"
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cranberrymill/cranberrymill/internal/disk"
@@ -45,6 +46,8 @@
 	Advisor mill.Advisor
 	// Machines is the provider's side; nil where there is none.
 	Machines mill.Machines
+	// Scope is where metrics are made; nil for none.
+	Scope tally.Scope
 }
 
 // poolSize bounds the orders and questions in flight.
@@ -64,6 +67,7 @@
 	pool    *ants.Pool
 	placer  mill.Placer
 	runner  atomic.Pointer[lead.Runner]
+	commits tally.Histogram
 	ctx     context.Context
 	// led is the term in which this process leads or begins to, and end ends its duty.
 	led uint64
@@ -106,12 +110,22 @@
 		placer:  place.Pack{},
 	}
 	c.link = NewLink(c.client, config.Seeds, config.Address)
+	c.commits = commitTimes(config.Scope)
 
 	c.pool, err = ants.NewPool(poolSize, ants.WithNonblocking(true))
 
 	return c, err
 }
 
+// commitTimes is how long entries take to be committed.
+func commitTimes(scope tally.Scope) tally.Histogram {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+
+	return scope.Histogram("commit_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13))
+}
+
 // openStorage opens the data folder. At the first start a seed writes the
 // membership that all seeds begin with.
 func openStorage(config Config, first string) (*disk.File, error) {
@@ -330,6 +344,7 @@
 		Orders: c.config.Orders,
 
 		Machines: c.config.Machines,
+		Scope:    c.config.Scope,
 
 		Advise:  c.advise,
 		Propose: c.propose,
@@ -382,7 +397,11 @@
 		return
 	}
 
+	began := time.Now()
+
 	c.host.Propose(data, func(err error) {
+		c.commits.RecordDuration(time.Since(began))
+
 		if err == nil && len(c.machine.results) != len(commands) {
 			err = merry.Prepend(mill.ErrUnavailable, "the entry could not be applied", merry.NoCaptureStack())
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cranberrymill/cranberrymill/internal/core"
@@ -28,19 +29,26 @@
 	// Seeds are the addresses of processes of the core.
 	Seeds   []string
 	Advisor mill.Advisor
+	// Scope is where metrics are made; nil for none.
+	Scope tally.Scope
 }
 
 // Front is one process that faces callers.
 type Front struct {
-	config Config
-	link   *core.Link
+	config   Config
+	link     *core.Link
+	counters counters
 }
 
 var _ mill.JobQueues = (*Front)(nil)
 
 // New returns a process that is not running yet.
 func New(config Config) *Front {
-	return &Front{config: config, link: core.NewLink(wire.NewClient(), config.Seeds, config.Address)}
+	return &Front{
+		config:   config,
+		link:     core.NewLink(wire.NewClient(), config.Seeds, config.Address),
+		counters: newCounters(config.Scope),
+	}
 }
 
 // Run follows the core and asks the advisor for it until the context ends.
@@ -87,12 +95,16 @@
 		return mill.Receipt{Verdict: mill.VerdictRefused, Reason: "there is no setup yet"}, nil
 	}
 
+	began := time.Now()
+
 	reply, doubtful, err := core.CallLeader[core.SubmitRequest, core.SubmitReply](ctx, f.link, core.MethodSubmit,
 		func(term uint64) *core.SubmitRequest {
 			return &core.SubmitRequest{Term: term, Host: host, Path: path, Work: *work}
 		})
 
 	receipt := receiptOf(reply, doubtful, err)
+	f.counters.answered(receipt.Verdict, time.Since(began))
+
 	log.Info().Str("path", path).Int("verdict", int(receipt.Verdict)).Str("reason", receipt.Reason).
 		Bool("doubtful", doubtful).Err(err).Msg("submission answered")
 
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -6,6 +6,7 @@
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/cranberrymill/cranberrymill/internal/drive"
 	"github.com/cranberrymill/cranberrymill/internal/jobs"
@@ -44,6 +45,8 @@
 	Wall func(now time.Time) int64
 	// Pool runs what waits for answers.
 	Pool *ants.Pool
+	// Scope is where metrics are made; nil for none.
+	Scope tally.Scope
 }
 
 // Runner carries out a scheduler's actions on one goroutine.
@@ -53,6 +56,7 @@
 	events    *ring.Ring[func(now time.Time)]
 	context   context.Context
 	summed    time.Time
+	counters  counters
 }
 
 // NewRunner returns a runner for a term; its context ends the term.
@@ -62,6 +66,7 @@
 		outside:   outside,
 		events:    ring.New[func(now time.Time)](runnerEvents),
 		context:   ctx,
+		counters:  newCounters(outside.Scope),
 	}
 }
 
@@ -99,6 +104,7 @@
 		r.outside.View(func(state *jobs.State) {
 			actions = r.scheduler.Next(now, wall, state)
 		})
+		r.counters.plan.RecordDuration(time.Since(now))
 		r.perform(&actions)
 		r.logEvents()
 		r.logSummary(now)
@@ -269,6 +275,8 @@
 
 	r.outside.View(func(state *jobs.State) {
 		s := r.scheduler.Summary(now, state)
+		r.counters.show(&s)
+
 		log.Info().Int("open", s.Open).Int("waitingSteps", s.Steps).Int("asking", s.Asking).Int("runs", s.Runs).
 			Int("doubtful", s.Doubtful).Int("workers", s.Workers).Int("usable", s.Usable).Int("callers", s.Callers).
 			Int("busyCallers", s.Busy).Msg("in hand")
@@ -277,6 +285,8 @@
 
 func (r *Runner) logEvents() {
 	for _, e := range r.scheduler.TakeEvents() {
+		r.counters.count(&e)
+
 		log.Info().Str("task", e.Task.String()).Int("run", e.Run).Str("worker", e.Worker).
 			Str("detail", e.Detail).Msg(string(e.Kind))
 	}
