Pass reports on to the leader alone

Cause: each process of the core passed every report on to all others, so that their bytes and processor time grew with the square of the deployment. Since the log holds what workers say of themselves, only the leader needs the reports; a process that learns of a new leader passes on what it was told.

Ruled out: fewer reports, since their pause is the platform's.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -337,7 +337,27 @@
 	return slices.DeleteFunc(addresses, func(address string) bool { return address == c.config.Address })
 }
 
-// tell passes news on to the other processes of the core, once the data folder is open.
+// listeners returns the processes that need news of workers: the leader alone, which has
+// in the log what its successor must know, or all as long as none is known.
+func (c *Core) listeners() []string {
+	switch leader := c.role().Leader.Address; leader {
+	case "":
+		return c.others()
+	case c.config.Address:
+		return nil
+	default:
+		return []string{leader}
+	}
+}
+
+// tellAll passes all that is known of the workers on to a leader that is new.
+func (c *Core) tellAll() {
+	for _, known := range c.table.all(time.Now()) {
+		c.tell(News{Status: known.status})
+	}
+}
+
+// tell passes news on to the processes that need it, once the data folder is open.
 func (c *Core) tell(news News) {
 	c.mu.Lock()
 	outbox := c.outbox
@@ -347,7 +367,7 @@
 		return
 	}
 
-	for _, address := range c.others() {
+	for _, address := range c.listeners() {
 		outbox.Send(address, news)
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -72,6 +72,8 @@
 	// led is the term in which this process leads or begins to, and end ends its duty.
 	led uint64
 	end context.CancelFunc
+	// told is the term whose leader was told of the workers.
+	told uint64
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -287,7 +289,7 @@
 	return nil
 }
 
-// settled follows the role and publishes the setup; it runs on the driver's goroutine.
+// settled follows the role, tells a new leader of the workers and publishes the setup; it runs on the driver's goroutine.
 func (c *Core) settled() {
 	role := c.role()
 
@@ -299,6 +301,11 @@
 	default:
 	}
 
+	if role.Leader.Address != "" && role.Term != c.told {
+		c.told = role.Term
+		c.tellAll()
+	}
+
 	if setup := c.machine.state.Setup(); setup != nil && setup.Version > c.version.Load() {
 		c.version.Store(setup.Version)
 		c.publish()
