Count machines that an earlier leader took down for a wave

A machine in upkeep takes one of the wave's places whoever ordered it.

Ruled out: records of turns in the log before each order, which cost a commit for each machine; an order of an earlier leader that is carried out seconds late stays open (docs/PROOFS.md).

Before: TestWaveGoesOnUnderAnotherLeader has 6 down of 2.

--- a/internal/lead/upkeep.go
+++ b/internal/lead/upkeep.go
@@ -97,7 +97,7 @@
 
 	for _, id := range wave.Plan.Machines {
 		u, turn := s.upkeeps[id]
-		_, exists := s.machines[id]
+		machine, exists := s.machines[id]
 
 		switch {
 		case !exists && !wave.Settled[id]:
@@ -108,12 +108,15 @@
 			taken++
 
 			s.order(actions, wave, id, u, now, state)
+		case machine.State == mill.MachineUpkeep:
+			// An order of an earlier leader, or one that was carried out late.
+			taken++
 		default:
 		}
 	}
 
 	for _, id := range s.nextTurns(wave) {
-		if taken == wave.Plan.MaxAtOnce {
+		if taken >= wave.Plan.MaxAtOnce {
 			return
 		}
 
--- a/internal/lead/upkeep_test.go
+++ b/internal/lead/upkeep_test.go
@@ -140,6 +140,26 @@
 	assert.Equal(t, job.State(), mill.JobCompleted)
 }
 
+// TestWaveGoesOnUnderAnotherLeader changes the leader while machines are down. It expects the
+// next one to count them, and the wave to become complete.
+func TestWaveGoesOnUnderAnotherLeader(t *testing.T) {
+	w := newWorld(t, nil, 8)
+	w.provider = newProvider(w)
+	w.run(time.Second)
+	startWave(w, 8, 2, 20*time.Second)
+
+	for len(w.provider.begun) < 8 {
+		w.run(700 * time.Millisecond)
+		w.newLeader()
+	}
+
+	assert.Equal(t, w.provider.most, 2)
+	w.run(5 * time.Second)
+
+	wave, _ := w.state.Wave(1)
+	assert.Assert(t, wave.Complete(), "settled %v", wave.Settled)
+}
+
 // TestWaveSparesTasksThatMustNotBeMissed plays a wave over machines that hold the tasks of a
 // lasting step, of which one may be away at a time.
 func TestWaveSparesTasksThatMustNotBeMissed(t *testing.T) {
