Count a machine in each wave that it is part of

A turn begins when every wave that the machine is part of has a place left, and belongs to one wave.

Before: TestWavesShareMachines fails.

--- a/internal/jobs/wave.go
+++ b/internal/jobs/wave.go
@@ -19,6 +19,18 @@
 	return len(w.Settled) == len(w.Plan.Machines)
 }
 
+// Has reports whether the machine is part of the wave.
+func (w *Wave) Has(machine string) bool {
+	_, found := slices.BinarySearch(w.Plan.Machines, machine)
+
+	return found
+}
+
+// Waves returns all waves by number. The caller must not change the map.
+func (s *State) Waves() map[int]*Wave {
+	return s.content.Waves
+}
+
 // Wave returns the wave of the number.
 func (s *State) Wave(number int) (*Wave, bool) {
 	wave, ok := s.content.Waves[number]
--- a/internal/lead/upkeep.go
+++ b/internal/lead/upkeep.go
@@ -86,41 +86,75 @@
 		return
 	}
 
+	for id, u := range s.upkeeps {
+		if s.back(id, u) {
+			delete(s.upkeeps, id)
+		}
+	}
+
 	for _, wave := range waves {
 		s.advance(actions, wave, now, state)
 	}
+
+	down := s.down(state)
+
+	for _, wave := range waves {
+		s.takeTurns(wave, down, now)
+	}
 }
 
-// advance moves one wave on.
+// advance gives the orders that are due for one wave, and settles machines that are gone.
 func (s *Scheduler) advance(actions *Actions, wave *jobs.Wave, now time.Time, state *jobs.State) {
-	taken := 0
-
 	for _, id := range wave.Plan.Machines {
-		u, turn := s.upkeeps[id]
-		machine, exists := s.machines[id]
-
-		switch {
-		case !exists && !wave.Settled[id]:
+		if _, exists := s.machines[id]; !exists && !wave.Settled[id] {
 			actions.Commands = append(actions.Commands, settled(wave, id))
-		case turn && s.back(id, u):
-			delete(s.upkeeps, id)
-		case turn:
-			taken++
+		}
 
+		if u, turn := s.upkeeps[id]; turn && u.wave == wave.Plan.Number {
 			s.order(actions, wave, id, u, now, state)
-		case machine.State == mill.MachineUpkeep:
-			// An order of an earlier leader, or one that was carried out late.
-			taken++
-		default:
 		}
 	}
+}
+
+// places is how many more machines of a wave may be down.
+type places struct {
+	wave *jobs.Wave
+	left int
+}
+
+// down returns what all waves, also complete ones, leave for further machines. A machine
+// counts in each wave that it is part of, whoever has ordered its upkeep.
+func (s *Scheduler) down(state *jobs.State) []*places {
+	list := make([]*places, 0, len(state.Waves()))
+
+	for _, wave := range state.Waves() {
+		p := &places{wave: wave, left: wave.Plan.MaxAtOnce}
+
+		for _, id := range wave.Plan.Machines {
+			if _, turn := s.upkeeps[id]; turn || s.machines[id].State == mill.MachineUpkeep {
+				p.left--
+			}
+		}
 
+		list = append(list, p)
+	}
+
+	return list
+}
+
+// takeTurns begins the turns of a wave's next machines, as far as every wave that they are
+// part of allows it.
+func (s *Scheduler) takeTurns(wave *jobs.Wave, down []*places, now time.Time) {
 	for _, id := range s.nextTurns(wave) {
-		if taken >= wave.Plan.MaxAtOnce {
-			return
+		parts := slices.DeleteFunc(slices.Clone(down), func(p *places) bool { return !p.wave.Has(id) })
+		if slices.ContainsFunc(parts, func(p *places) bool { return p.left <= 0 }) {
+			continue
+		}
+
+		for _, p := range parts {
+			p.left--
 		}
 
-		taken++
 		s.upkeeps[id] = &upkeep{wave: wave.Plan.Number, worker: s.machines[id].Worker, drained: now}
 	}
 }
--- a/internal/lead/upkeep_test.go
+++ b/internal/lead/upkeep_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -18,7 +20,11 @@
 	w     *world
 	lives map[string]*executor
 	until map[string]time.Time
-	begun map[string]int
+	// begun counts the upkeeps by wave and machine.
+	begun map[[2]string]int
+	waves []*mill.Wave
+	// broken says that more machines of a wave were down than it allows.
+	broken bool
 	// lost makes each second answer to an order be lost.
 	lost   bool
 	orders int
@@ -27,7 +33,7 @@
 
 func newProvider(w *world) *provider {
 	p := &provider{
-		w: w, lives: make(map[string]*executor), until: make(map[string]time.Time), begun: make(map[string]int),
+		w: w, lives: make(map[string]*executor), until: make(map[string]time.Time), begun: make(map[[2]string]int),
 	}
 
 	for _, e := range w.executors {
@@ -53,24 +59,22 @@
 }
 
 // upkeep ends the life on a machine, and begins another one two seconds later.
-func (p *provider) upkeep(machine string) {
-	if p.begun[machine] > 0 {
+func (p *provider) upkeep(machine string, number int) {
+	key := [2]string{machine, strconv.Itoa(number)}
+	if p.begun[key] > 0 {
 		return
 	}
 
-	p.begun[machine]++
+	p.begun[key]++
 	p.until[machine] = p.w.now.Add(worldUpkeep)
 
-	down := 0
-
-	for _, until := range p.until {
-		if p.w.now.Before(until) {
-			down++
+	for _, wave := range p.waves {
+		if slices.Contains(wave.Machines, machine) {
+			p.most = max(p.most, p.down(wave))
+			p.broken = p.broken || p.down(wave) > wave.MaxAtOnce
 		}
 	}
 
-	p.most = max(p.most, down)
-
 	old := p.lives[machine]
 	old.up = false
 
@@ -83,6 +87,19 @@
 	})
 }
 
+// down counts the machines of a wave that are down.
+func (p *provider) down(wave *mill.Wave) int {
+	down := 0
+
+	for _, id := range wave.Machines {
+		if p.w.now.Before(p.until[id]) {
+			down++
+		}
+	}
+
+	return down
+}
+
 // carryOut answers what the scheduler wants of the provider.
 func (p *provider) carryOut(actions *Actions) {
 	scheduler, asked := p.w.leader.scheduler, p.w.now
@@ -96,7 +113,7 @@
 		order := &actions.Upkeeps[i]
 		outcome := mill.UpkeepBegun
 		p.orders++
-		p.upkeep(order.Machine)
+		p.upkeep(order.Machine, order.Wave)
 
 		if p.lost && p.orders%2 == 0 {
 			outcome = mill.UpkeepUnanswered
@@ -106,13 +123,14 @@
 	}
 }
 
-func startWave(w *world, machines, atOnce int, duration time.Duration) {
-	wave := &mill.Wave{Number: 1, Duration: duration, MaxAtOnce: atOnce}
+func startWave(w *world, number, first, machines, atOnce int, duration time.Duration) {
+	wave := &mill.Wave{Number: number, Duration: duration, MaxAtOnce: atOnce}
 	for i := range machines {
-		wave.Machines = append(wave.Machines, fmt.Sprintf("m-x%02d", i))
+		wave.Machines = append(wave.Machines, fmt.Sprintf("m-x%02d", first+i))
 	}
 
 	w.state.Apply(&jobs.Command{StartWave: wave})
+	w.provider.waves = append(w.provider.waves, wave)
 }
 
 // TestWave plays a wave over a pool at work whose provider loses answers. It expects each
@@ -126,7 +144,7 @@
 		Count: 24, Checkpointing: true, Each: mill.Resources{MilliCores: 1000, MemoryMiB: 100},
 	})
 	w.run(time.Second)
-	startWave(w, 8, 2, 20*time.Second)
+	startWave(w, 1, 0, 8, 2, 20*time.Second)
 	w.run(20 * time.Second)
 
 	wave, _ := w.state.Wave(1)
@@ -146,7 +164,7 @@
 	w := newWorld(t, nil, 8)
 	w.provider = newProvider(w)
 	w.run(time.Second)
-	startWave(w, 8, 2, 20*time.Second)
+	startWave(w, 1, 0, 8, 2, 20*time.Second)
 
 	for len(w.provider.begun) < 8 {
 		w.run(700 * time.Millisecond)
@@ -160,6 +178,24 @@
 	assert.Assert(t, wave.Complete(), "settled %v", wave.Settled)
 }
 
+// TestWavesShareMachines plays two waves that have machines in common. It expects neither to have
+// more of its machines down than it allows, and both to become complete.
+func TestWavesShareMachines(t *testing.T) {
+	w := newWorld(t, nil, 8)
+	w.provider = newProvider(w)
+	w.run(time.Second)
+	startWave(w, 1, 0, 6, 2, 20*time.Second)
+	startWave(w, 2, 3, 5, 1, 20*time.Second)
+	w.run(40 * time.Second)
+
+	assert.Assert(t, !w.provider.broken)
+
+	for number := 1; number <= 2; number++ {
+		wave, _ := w.state.Wave(number)
+		assert.Assert(t, wave.Complete(), "wave %d settled %v", number, wave.Settled)
+	}
+}
+
 // TestWaveSparesTasksThatMustNotBeMissed plays a wave over machines that hold the tasks of a
 // lasting step, of which one may be away at a time.
 func TestWaveSparesTasksThatMustNotBeMissed(t *testing.T) {
@@ -169,7 +205,7 @@
 		Count: 3, Lasting: true, MayMiss: 1, MaxPerWorker: 1, Each: mill.Resources{MilliCores: 1000, MemoryMiB: 100},
 	})
 	w.run(2 * time.Second)
-	startWave(w, 4, 3, 30*time.Second)
+	startWave(w, 1, 0, 4, 3, 30*time.Second)
 
 	for range 3000 {
 		w.run(worldStep)
