Serve like work by one piece of code, and derive what a plan need not keep

A plan kept the setup beside the state that holds it, and listed the free addresses twice. Records of upkeep were taken apart and built again. While a wave was open, each plan went through the machines of all waves, also complete ones.

A pass lists the addresses once. Only the machines that are down are held against the waves.

Ruled out: one function for the states' names of two enums, whose lines are alike in shape only; a mark for workers whose facts have changed, which would be one more state.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -220,15 +220,21 @@
 	return &ConfigureReply{}, nil
 }
 
-// setup returns the newest setup. An empty entry is committed first: it shows that
-// no other leader has committed a newer one, even after a freeze that no clock of
-// this process has noticed.
-func (c *Core) setup(ctx context.Context, _ *SetupRequest) (*SetupReply, error) {
+// confirm commits an empty entry: it shows that no other leader has committed anything
+// newer, even after a freeze that no clock of this process has noticed.
+func (c *Core) confirm(ctx context.Context) error {
 	if err := c.scheduling(); err != nil {
-		return nil, err
+		return err
 	}
 
-	if _, err := c.commit(ctx); err != nil {
+	_, err := c.commit(ctx)
+
+	return err
+}
+
+// setup returns the newest setup.
+func (c *Core) setup(ctx context.Context, _ *SetupRequest) (*SetupReply, error) {
+	if err := c.confirm(ctx); err != nil {
 		return nil, err
 	}
 
--- a/internal/core/waves.go
+++ b/internal/core/waves.go
@@ -26,13 +26,8 @@
 	return &WaveReply{}, nil
 }
 
-// waveState commits an empty entry first, so that no older state of a wave is told.
 func (c *Core) waveState(ctx context.Context, request *WaveStateRequest) (*WaveStateReply, error) {
-	if err := c.scheduling(); err != nil {
-		return nil, err
-	}
-
-	if _, err := c.commit(ctx); err != nil {
+	if err := c.confirm(ctx); err != nil {
 		return nil, err
 	}
 
--- a/internal/lead/ask.go
+++ b/internal/lead/ask.go
@@ -23,8 +23,8 @@
 // only steps that the plan has kept room for are asked about, in their order, and
 // some addresses are kept for questions that are answered quickly. What is left
 // learns early which workers may run a step that has no room yet.
-func (s *Scheduler) ask(candidates []*candidate, now time.Time) []Ask {
-	callers := s.freeCallers(now)
+func (s *Scheduler) ask(candidates []*candidate, p *pass) []Ask {
+	callers, now := p.callers, p.now
 	kept := len(s.callers) / keptShare
 
 	var asks []Ask
--- a/internal/lead/clear.go
+++ b/internal/lead/clear.go
@@ -127,7 +127,7 @@
 		return false
 	}
 
-	claim := s.claim(s.candidate(job, p.setup, r.task.StepID), job.Occurrences[r.task.Occurrence], p.wall)
+	claim := s.claim(s.candidate(job, p.state.Setup(), r.task.StepID), job.Occurrences[r.task.Occurrence], p.wall)
 
 	return plan.MayYield(&claim, &c.claim, r.step.Checkpointing)
 }
--- a/internal/lead/keep.go
+++ b/internal/lead/keep.go
@@ -1,6 +1,8 @@
 package lead
 
 import (
+	"time"
+
 	"github.com/cranberrymill/cranberrymill/internal/plan"
 )
 
@@ -22,26 +24,17 @@
 		p.keeps--
 	}
 
-	if s.keepOn(c, p, s.mayKeepAllowed) {
+	workers := s.toAskAbout(c, p)
+	if s.keepOn(c, workers, func(w *worker) bool { return c.renewable(w, p.now) }) {
 		return
 	}
 
-	s.keepOn(c, p, s.mayKeep)
+	s.keepOn(c, workers, func(w *worker) bool { return c.mayBeAllowed(w, p.now) })
 }
 
 // keepOn keeps room on workers of a choice, and reports whether the step fits on them.
-func (s *Scheduler) keepOn(c *candidate, p *pass, may func(c *candidate, w *worker, p *pass) bool) bool {
-	var (
-		sites   []plan.Site
-		workers []*worker
-	)
-
-	for _, w := range s.toAskAbout(c, p) {
-		if c.suits(w) && c.step.Reserves().Fits(w.unkept()) && may(c, w, p) {
-			sites = append(sites, c.site(w))
-			workers = append(workers, w)
-		}
-	}
+func (s *Scheduler) keepOn(c *candidate, among []*worker, may func(w *worker) bool) bool {
+	sites, workers := c.sites(among, may)
 
 	chosen := plan.Spread(sites, c.demand(), len(c.waiting), s.placer, nil)
 	if len(chosen) == 0 || (c.step.Gang && len(chosen) < len(c.waiting)) {
@@ -66,21 +59,22 @@
 	return s.usableOf(c.advice.named, p.now)
 }
 
-// mayKeepAllowed reports whether the advisor is known to allow the worker.
-func (s *Scheduler) mayKeepAllowed(c *candidate, w *worker, p *pass) bool {
-	allowed, valid := c.allows(w.status.ID, p.now)
+// renewable reports whether the advisor is known to allow the worker, so that only the
+// ticket has to be renewed; that of a gang holds for all members or for none.
+func (c *candidate) renewable(w *worker, now time.Time) bool {
+	allowed, valid := c.allows(w.status.ID, now)
 
 	return allowed && (!valid || c.step.Gang)
 }
 
-// mayKeep reports whether the advisor may allow the worker: it has not refused it, and
-// is not being asked about others.
-func (s *Scheduler) mayKeep(c *candidate, w *worker, p *pass) bool {
-	if c.advice.asking {
+// mayBeAllowed reports whether the advisor has not refused the worker, as far as it was
+// asked; those that an open question names are not answered for yet.
+func (c *candidate) mayBeAllowed(w *worker, now time.Time) bool {
+	if c.advice.asking || c.renewable(w, now) {
 		return true
 	}
 
-	allowed, valid := c.allows(w.status.ID, p.now)
+	allowed, _ := c.allows(w.status.ID, now)
 
-	return allowed && (!valid || c.step.Gang) || !allowed && !c.advice.asked[w.status.ID]
+	return !allowed && !c.advice.asked[w.status.ID]
 }
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -10,19 +10,12 @@
 )
 
 // place returns the placements that are to be committed, and claims their room.
-func (s *Scheduler) place(candidates []*candidate, now time.Time, wall int64, state *jobs.State) []jobs.Command {
+func (s *Scheduler) place(candidates []*candidate, p *pass) []jobs.Command {
 	commands := make([]jobs.Command, 0, len(candidates))
-	p := &pass{
-		now:   now,
-		wall:  wall,
-		state: state,
-		setup: state.Setup(),
-		pools: s.pools(now),
-		keeps: len(s.freeCallers(now)) + keepsBeside,
-	}
 
 	for _, c := range candidates {
-		if !plan.MayStart(&c.claim, p.pool(c).free, p.pool(c).capacity) {
+		pool := p.pool(c)
+		if !plan.MayStart(&c.claim, pool.free, pool.capacity) {
 			continue
 		}
 
@@ -51,7 +44,7 @@
 }
 
 func (s *Scheduler) placeStep(c *candidate, p *pass) []jobs.Command {
-	sites, workers := s.sites(c, p)
+	sites, workers := c.sites(s.ticketed(c, p), nil)
 	chosen := plan.Spread(sites, c.demand(), len(c.waiting), s.placer,
 		s.avoid(c, p.pool(c).workers, p.now))
 	if c.step.Gang && len(chosen) < len(c.waiting) {
@@ -117,23 +110,6 @@
 	return since
 }
 
-// sites returns the workers on which the step may run now.
-func (s *Scheduler) sites(c *candidate, p *pass) ([]plan.Site, []*worker) {
-	var (
-		sites   []plan.Site
-		workers []*worker
-	)
-
-	for _, w := range s.ticketed(c, p) {
-		if c.suits(w) && c.step.Reserves().Fits(w.unkept()) {
-			sites = append(sites, c.site(w))
-			workers = append(workers, w)
-		}
-	}
-
-	return sites, workers
-}
-
 // ticketed returns the workers that the step needs no more advice for.
 func (s *Scheduler) ticketed(c *candidate, p *pass) []*worker {
 	if c.advice == nil {
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -14,12 +14,27 @@
 	now   time.Time
 	wall  int64
 	state *jobs.State
-	setup *mill.Setup
 	pools map[string]*pool
+	// callers are the addresses from which the advisor can be asked now.
+	callers []string
 	// keeps is for how many more steps room may be looked for to ask the advisor about.
 	keeps int
 }
 
+// newPass returns a pass in which nothing is kept and no question was spent.
+func (s *Scheduler) newPass(now time.Time, wall int64, state *jobs.State) *pass {
+	callers := s.freeCallers(now)
+
+	return &pass{
+		now:     now,
+		wall:    wall,
+		state:   state,
+		pools:   s.pools(now),
+		callers: callers,
+		keeps:   len(callers) + keepsBeside,
+	}
+}
+
 // pool is the workers of one service that may be given work.
 type pool struct {
 	// workers are in a fixed order.
@@ -83,7 +98,7 @@
 	usable := make([]*worker, 0, len(s.workers))
 
 	for _, w := range s.workers {
-		if w.usable(now) && !s.drains(w) {
+		if s.takes(w, now) {
 			usable = append(usable, w)
 		}
 	}
@@ -105,12 +120,17 @@
 	return pools
 }
 
+// takes reports whether a worker may be given work, also by its machine's upkeep.
+func (s *Scheduler) takes(w *worker, now time.Time) bool {
+	return w.usable(now) && s.upkeepOf(w) == nil
+}
+
 // usableOf returns the workers of some ids that may be given work, in order of their ids.
 func (s *Scheduler) usableOf(ids []string, now time.Time) []*worker {
 	found := make([]*worker, 0, len(ids))
 
 	for _, id := range ids {
-		if w, ok := s.workers[id]; ok && w.usable(now) && !s.drains(w) {
+		if w, ok := s.workers[id]; ok && s.takes(w, now) {
 			found = append(found, w)
 		}
 	}
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -164,27 +164,32 @@
 	}
 }
 
-func (r *Runner) start(start *Start) {
+// order gives an order within its time.
+func (r *Runner) order(give func(ctx context.Context) mill.OrderReply) mill.OrderReply {
 	ctx, cancel := context.WithTimeout(r.context, r.scheduler.bounds.orderTime())
 	defer cancel()
 
-	reply := r.outside.Orders.Start(ctx, start.To, &start.Order)
+	return give(ctx)
+}
+
+func (r *Runner) start(start *Start) {
+	reply := r.order(func(ctx context.Context) mill.OrderReply {
+		return r.outside.Orders.Start(ctx, start.To, &start.Order)
+	})
 	r.post(func(now time.Time) { r.scheduler.StartAnswered(start, reply, now) })
 }
 
 func (r *Runner) stop(stop *Stop) {
-	ctx, cancel := context.WithTimeout(r.context, r.scheduler.bounds.orderTime())
-	defer cancel()
-
-	reply := r.outside.Orders.Stop(ctx, stop.To, stop.Run, stop.Fence)
+	reply := r.order(func(ctx context.Context) mill.OrderReply {
+		return r.outside.Orders.Stop(ctx, stop.To, stop.Run, stop.Fence)
+	})
 	r.post(func(now time.Time) { r.scheduler.StopAnswered(stop, reply, now) })
 }
 
 func (r *Runner) pace(pace *Pace) {
-	ctx, cancel := context.WithTimeout(r.context, r.scheduler.bounds.orderTime())
-	defer cancel()
-
-	reply := r.outside.Orders.Pace(ctx, pace.To, &pace.Order)
+	reply := r.order(func(ctx context.Context) mill.OrderReply {
+		return r.outside.Orders.Pace(ctx, pace.To, &pace.Order)
+	})
 	r.post(func(now time.Time) { r.scheduler.PaceAnswered(pace, reply, now) })
 }
 
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -30,10 +30,12 @@
 	machines map[string]mill.Machine
 	listed   time.Time
 	listing  bool
-	// upkeeps holds the machines whose turn has come in a wave, and begunUpkeeps the orders
-	// whose machines are to be recorded as settled.
-	upkeeps      map[string]*upkeep
-	begunUpkeeps []Upkeep
+	// inUpkeep lists the machines that the provider's list shows in upkeep.
+	inUpkeep []string
+	// upkeeps holds the machines whose turn has come in a wave, and settling the records of
+	// those that have begun.
+	upkeeps  map[string]*upkeep
+	settling []jobs.Command
 	// forgotten lists silent workers whose records are to be dropped.
 	forgotten []string
 	events    []Event
@@ -214,11 +216,13 @@
 
 	actions.Commands = s.takeEnds(now)
 	candidates := s.candidates(wall, state)
-	actions.Commands = append(actions.Commands, s.place(candidates, now, wall, state)...)
+	p := s.newPass(now, wall, state)
+	actions.Commands = append(actions.Commands, s.place(candidates, p)...)
 	actions.Commands = append(actions.Commands, s.record()...)
-	actions.Commands = append(actions.Commands, s.takeSettled()...)
+	actions.Commands = append(actions.Commands, s.settling...)
+	s.settling = nil
 	s.upkeep(&actions, now, state)
-	actions.Asks = s.ask(candidates, now)
+	actions.Asks = s.ask(candidates, p)
 	s.waitingSteps = countWaiting(candidates)
 	s.give(&actions, now)
 
@@ -366,7 +370,7 @@
 		case commands[i].Know != nil, commands[i].Forget != "":
 			s.recordCommitted(&commands[i], err == nil)
 		case commands[i].Upkeep != nil && err != nil:
-			s.begunUpkeeps = append(s.begunUpkeeps, Upkeep{Wave: commands[i].Upkeep.Wave, Machine: commands[i].Upkeep.Machine})
+			s.settling = append(s.settling, commands[i])
 		default:
 		}
 	}
--- a/internal/lead/step.go
+++ b/internal/lead/step.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// sites returns those of some workers that have room for a task of the step and that a
+// choice allows; nil allows all.
+func (c *candidate) sites(workers []*worker, may func(w *worker) bool) (sites []plan.Site, chosen []*worker) {
+	for _, w := range workers {
+		if c.suits(w) && c.step.Reserves().Fits(w.unkept()) && (may == nil || may(w)) {
+			sites = append(sites, c.site(w))
+			chosen = append(chosen, w)
+		}
+	}
+
+	return sites, chosen
+}
+
 // suits reports whether the worker could run a task of the step if it were empty.
 func (c *candidate) suits(w *worker) bool {
 	return w.status.Service == c.queue.Service && w.status.HasLabel(c.step.Label) &&
--- a/internal/lead/upkeep.go
+++ b/internal/lead/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -43,10 +44,15 @@
 	}
 
 	s.machines = make(map[string]mill.Machine, len(machines))
+	s.inUpkeep = nil
 	s.listed = asked
 
 	for _, machine := range machines {
 		s.machines[machine.ID] = machine
+
+		if machine.State == mill.MachineUpkeep {
+			s.inUpkeep = append(s.inUpkeep, machine.ID)
+		}
 	}
 
 	for id, u := range s.upkeeps {
@@ -96,10 +102,10 @@
 		s.advance(actions, wave, now, state)
 	}
 
-	down := s.down(state)
+	left := s.places(state)
 
 	for _, wave := range waves {
-		s.takeTurns(wave, down, now)
+		s.takeTurns(wave, left, now)
 	}
 }
 
@@ -107,7 +113,7 @@
 func (s *Scheduler) advance(actions *Actions, wave *jobs.Wave, now time.Time, state *jobs.State) {
 	for _, id := range wave.Plan.Machines {
 		if _, exists := s.machines[id]; !exists && !wave.Settled[id] {
-			actions.Commands = append(actions.Commands, settled(wave, id))
+			actions.Commands = append(actions.Commands, settled(wave.Plan.Number, id))
 		}
 
 		if u, turn := s.upkeeps[id]; turn && u.wave == wave.Plan.Number {
@@ -122,16 +128,17 @@
 	left int
 }
 
-// down returns what all waves, also complete ones, leave for further machines. A machine
+// places returns what all waves, also complete ones, leave for further machines. A machine
 // counts in each wave that it is part of, whoever has ordered its upkeep.
-func (s *Scheduler) down(state *jobs.State) []*places {
+func (s *Scheduler) places(state *jobs.State) []*places {
 	list := make([]*places, 0, len(state.Waves()))
+	down := s.down()
 
 	for _, wave := range state.Waves() {
 		p := &places{wave: wave, left: wave.Plan.MaxAtOnce}
 
-		for _, id := range wave.Plan.Machines {
-			if _, turn := s.upkeeps[id]; turn || s.machines[id].State == mill.MachineUpkeep {
+		for _, id := range down {
+			if wave.Has(id) {
 				p.left--
 			}
 		}
@@ -142,11 +149,24 @@
 	return list
 }
 
+// down returns the machines that are down for their upkeep, or may be.
+func (s *Scheduler) down() []string {
+	down := slices.Collect(maps.Keys(s.upkeeps))
+
+	for _, id := range s.inUpkeep {
+		if _, turn := s.upkeeps[id]; !turn {
+			down = append(down, id)
+		}
+	}
+
+	return down
+}
+
 // takeTurns begins the turns of a wave's next machines, as far as every wave that they are
 // part of allows it.
-func (s *Scheduler) takeTurns(wave *jobs.Wave, down []*places, now time.Time) {
+func (s *Scheduler) takeTurns(wave *jobs.Wave, left []*places, now time.Time) {
 	for _, id := range s.nextTurns(wave) {
-		parts := slices.DeleteFunc(slices.Clone(down), func(p *places) bool { return !p.wave.Has(id) })
+		parts := slices.DeleteFunc(slices.Clone(left), func(p *places) bool { return !p.wave.Has(id) })
 		if slices.ContainsFunc(parts, func(p *places) bool { return p.left <= 0 }) {
 			continue
 		}
@@ -159,8 +179,8 @@
 	}
 }
 
-func settled(wave *jobs.Wave, machine string) jobs.Command {
-	return jobs.Command{Upkeep: &jobs.Upkeep{Wave: wave.Plan.Number, Machine: machine}}
+func settled(wave int, machine string) jobs.Command {
+	return jobs.Command{Upkeep: &jobs.Upkeep{Wave: wave, Machine: machine}}
 }
 
 // back reports whether a machine is up again with another life after its upkeep.
@@ -262,11 +282,7 @@
 	return u != nil && u.ordered
 }
 
-// drains reports whether a worker's machine is kept from new work for its upkeep.
-func (s *Scheduler) drains(w *worker) bool {
-	return s.upkeepOf(w) != nil
-}
-
+// upkeepOf returns the turn of the worker's machine, nil for none.
 func (s *Scheduler) upkeepOf(w *worker) *upkeep {
 	for _, u := range s.upkeeps {
 		if u.worker == w.status.ID {
@@ -290,25 +306,13 @@
 	switch outcome {
 	case mill.UpkeepBegun:
 		u.begun = now
-		s.begunUpkeeps = append(s.begunUpkeeps, *order)
+		s.settling = append(s.settling, settled(order.Wave, order.Machine))
 	case mill.UpkeepNone:
 		delete(s.upkeeps, order.Machine)
-		s.begunUpkeeps = append(s.begunUpkeeps, *order)
+		s.settling = append(s.settling, settled(order.Wave, order.Machine))
 	case mill.UpkeepBusy:
 		// Another order came first, or the machine leaves: the next look tells.
 		delete(s.upkeeps, order.Machine)
 	default:
 	}
 }
-
-// takeSettled returns the records of machines whose upkeep has begun.
-func (s *Scheduler) takeSettled() []jobs.Command {
-	commands := make([]jobs.Command, 0, len(s.begunUpkeeps))
-	for _, order := range s.begunUpkeeps {
-		commands = append(commands, jobs.Command{Upkeep: &jobs.Upkeep{Wave: order.Wave, Machine: order.Machine}})
-	}
-
-	s.begunUpkeeps = nil
-
-	return commands
-}
