Show a status that the control log's leader has confirmed

Cause of TestPlannedStopHandsOver (listed as red): an entry answered the status from its own view of the control log. It follows one voter by long polls, and when that voter is the store that is being stopped, the view stays at the old epoch until the next voter answers. So the status named a primary that had already left. Ruled out: that the store exits before the hand-over; it waits until its own view has the new epoch.

Now a status first waits, for a second at the most, until the view has the revision that the leader reports, and says whether it did (`confirmed`).

Cause of TestAcrossDataCentres and TestConfigurationNeverReverts: each address was chosen after the listener of the one before had been closed, so two roles could get one port. All listeners stay open until every address is chosen, on a loopback host of the test process, from which no outgoing connection takes ports.

--- a/internal/ctrl/messages.go
+++ b/internal/ctrl/messages.go
@@ -56,4 +56,6 @@
 	// Voting is set if this server itself is a voter. Voters may list its VM although only a server with an
 	// earlier identity, whose storage was lost, is a voter.
 	Voting bool
+	// Current is set if this server leads and knows all changes that earlier leaders have committed.
+	Current bool
 }
--- a/internal/ctrl/server.go
+++ b/internal/ctrl/server.go
@@ -199,6 +199,7 @@
 		Commit:   role.CommitIndex,
 		Revision: s.state.view.Revision,
 		Voting:   role.Members.Has(s.self.Identity),
+		Current:  role.Leading && role.CommittedInTerm,
 	}
 
 	for _, server := range role.Members.Servers {
--- a/internal/ctrl/watcher.go
+++ b/internal/ctrl/watcher.go
@@ -67,10 +67,37 @@
 // AwaitVersion waits for a view of at least the version, and reports whether it was received before
 // the context ended.
 func (w *Watcher) AwaitVersion(ctx context.Context, version uint64) bool {
+	return w.await(ctx, func(view *View) bool { return view.Version >= version })
+}
+
+// CatchUp waits for a view that holds all changes that the leader has committed. It returns the status of
+// each voter that answers, and whether the view was received before the context ended.
+func (w *Watcher) CatchUp(ctx context.Context) ([]StatusReply, bool) {
+	for {
+		replies := w.Status(ctx)
+
+		for i := range replies {
+			if replies[i].Current {
+				return replies, w.await(ctx, func(view *View) bool { return view.Revision >= replies[i].Revision })
+			}
+		}
+
+		// There may be no leader for a moment, for example right after one was stopped.
+		drive.Pause(ctx, retryDelay)
+
+		if ctx.Err() != nil {
+			return replies, false
+		}
+	}
+}
+
+// await waits for a view that satisfies the condition, and reports whether it was received before the
+// context ended.
+func (w *Watcher) await(ctx context.Context, satisfies func(view *View) bool) bool {
 	for {
 		changed := w.Changed()
 
-		if w.View().Version >= version {
+		if satisfies(w.View()) {
 			return true
 		}
 
--- a/internal/entry/status_api.go
+++ b/internal/entry/status_api.go
@@ -15,7 +15,10 @@
 
 // StatusReply is the state of the system as seen by one entry.
 type StatusReply struct {
-	VM        string          `json:"vm"`
+	VM string `json:"vm"`
+	// Confirmed says that the configuration and the ledgers' epochs include every change that the leader
+	// of the control log has committed. Otherwise they may be out of date.
+	Confirmed bool            `json:"confirmed"`
 	Version   uint64          `json:"version"`
 	Digest    string          `json:"digest"`
 	Preset    string          `json:"preset"`
@@ -57,16 +60,20 @@
 }
 
 func (e *Entry) getStatus(ctx *fasthttp.RequestCtx, _ string) {
+	// The entry's view may lag behind, above all while the voter that it follows is being stopped.
+	voters, confirmed := e.catchUp()
+
 	callCtx, cancel := context.WithTimeout(e.ctx, statusTimeout)
 	defer cancel()
 
 	view := e.control.View()
 	reply := StatusReply{
 		VM:        e.vm.Name,
+		Confirmed: confirmed,
 		Version:   view.Version,
 		Digest:    view.Digest,
 		Preset:    view.Declarations.Preset,
-		Control:   controlStatuses(e.control.Status(callCtx)),
+		Control:   controlStatuses(voters),
 		Services:  e.serviceStatuses(),
 		Upstreams: len(e.table.list(time.Now())),
 	}
@@ -78,6 +85,14 @@
 	httpd.WriteJSON(ctx, fasthttp.StatusOK, reply)
 }
 
+// catchUp waits for the newest view, for up to statusTimeout.
+func (e *Entry) catchUp() (voters []ctrl.StatusReply, confirmed bool) {
+	ctx, cancel := context.WithTimeout(e.ctx, statusTimeout)
+	defer cancel()
+
+	return e.control.CatchUp(ctx)
+}
+
 func controlStatuses(replies []ctrl.StatusReply) []ControlStatus {
 	statuses := make([]ControlStatus, 0, len(replies))
 
--- a/test/scene/system_test.go
+++ b/test/scene/system_test.go
@@ -135,6 +135,7 @@
 
 	s := &system{t: t, folder: t.TempDir(), processes: make(map[string]*vmProcesses)}
 	cluster := &conf.Cluster{}
+	addresses := freeAddresses(t, dataCentres*vmsEach*addressesPerVM)
 	voters := min(dataCentres*durableEach, 3)
 
 	for d := range dataCentres {
@@ -142,12 +143,13 @@
 
 		for v := range vmsEach {
 			durable := v < durableEach
+			own := addresses[(d*vmsEach+v)*addressesPerVM:]
 			dataCentre.VMs = append(dataCentre.VMs, conf.VM{
 				Name:    fmt.Sprintf("dc%d-%d", d, v),
-				HTTP:    freeAddress(t),
-				Entry:   freeAddress(t),
-				Store:   freeAddress(t),
-				Sched:   freeAddress(t),
+				HTTP:    own[0],
+				Entry:   own[1],
+				Store:   own[2],
+				Sched:   own[3],
 				Durable: durable,
 				Voter:   durable && voters > 0,
 			})
@@ -373,16 +375,34 @@
 	}
 }
 
-// freeAddress returns a loopback address whose port is free when it returns.
-func freeAddress(t testing.TB) string {
+// addressesPerVM is the number of addresses that the processes of one VM listen on.
+const addressesPerVM = 4
+
+// testHost returns a loopback address that other processes hardly listen on. Outgoing connections
+// have 127.0.0.1 as their source, so none of them takes a port that a process is about to listen on.
+func testHost() string {
+	pid := os.Getpid()
+
+	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
+}
+
+// freeAddresses returns different loopback addresses whose ports are free when it returns.
+func freeAddresses(t testing.TB, count int) []string {
 	t.Helper()
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	addresses := make([]string, 0, count)
+
+	for range count {
+		listener, err := net.Listen("tcp", net.JoinHostPort(testHost(), "0"))
+		assert.NilError(t, err)
 
-	defer func() { _ = listener.Close() }()
+		// All listeners stay open until every port is chosen, so that none is chosen twice.
+		defer func() { _ = listener.Close() }()
 
-	return listener.Addr().String()
+		addresses = append(addresses, listener.Addr().String())
+	}
+
+	return addresses
 }
 
 func writeJSON(t testing.TB, path string, value any) {
@@ -403,3 +423,13 @@
 
 	return status
 }
+
+// TestFreeAddresses expects no address to be given out twice in one call.
+func TestFreeAddresses(t *testing.T) {
+	seen := make(map[string]bool)
+
+	for _, address := range freeAddresses(t, 512) {
+		assert.Assert(t, !seen[address], address)
+		seen[address] = true
+	}
+}
