Relay orders in the workers' data centres, and index what a plan needs

Cause: on the large deployment the leader called each of 1,100 workers by HTTP. Its connections used up its 4,324 descriptors, an accept that got the same error ended the process, and with fewer connections its processor was full in bursts: a third of it was for orders, a quarter for plans that looked at all runs and sorted all workers, and each plan made an entry of its own in the log.

Now: - internal/relay: the leader sends orders in batches over one stream to a core process in the worker's data centre, which calls the worker. It falls back to direct calls where no relay answers. An order for which none could be opened is known not to have been sent; its run is not doubtful, and after three attempts the task goes elsewhere at once. - Listeners retry after every error but their own closing. - A plan keeps the runs with orders due and the sorted workers, rates each worker once for a step, and looks at racks once.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -12,6 +12,7 @@
 	"github.com/cranberrymill/cranberrymill/internal/drive"
 	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
+	"github.com/cranberrymill/cranberrymill/internal/relay"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -29,6 +30,11 @@
 	wire.Handle(server, MethodWaveState, c.waveState)
 	wire.Handle(server, MethodFollow, c.follow)
 	wire.Handle(server, MethodAdvise, NewAdviseHandler(c.config.Advisor))
+
+	if c.relaySender != nil {
+		wire.HandleStream(server, relay.MethodOrder, c.relayServer.Receive)
+		wire.HandleStream(server, relay.MethodReply, c.relaySender.Receive)
+	}
 }
 
 // NewAdviseHandler returns the handler of MethodAdvise, which asks the advisor.
@@ -248,6 +254,10 @@
 	if runner := c.runner.Load(); runner != nil && request.Advisor != "" {
 		runner.AdvisorReachable(request.Advisor)
 		c.clocks.observe(request.Advisor, request.UnixMilli, time.Now())
+
+		if c.relaySender != nil && request.RelayFor != "" {
+			c.relaySender.Add(request.Advisor, request.RelayFor, time.Now())
+		}
 	}
 
 	timer := time.NewTimer(min(time.Duration(request.WaitMilli)*time.Millisecond, longPollTimeout))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,6 +23,7 @@
 	"github.com/cranberrymill/cranberrymill/internal/mail"
 	"github.com/cranberrymill/cranberrymill/internal/place"
 	"github.com/cranberrymill/cranberrymill/internal/raft"
+	"github.com/cranberrymill/cranberrymill/internal/relay"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -33,6 +34,8 @@
 	VM string
 	// Address is the address at which other processes call this one.
 	Address string
+	// DataCentre is where the VM is. Orders to its workers are relayed by this process; "" disables that.
+	DataCentre string
 	// Seeds are addresses of core processes.
 	Seeds []string
 	// Bootstrap says that the whole system starts for the first time, so that seeds form the group.
@@ -55,17 +58,20 @@
 
 // Core is a core process: a replica of the log, and the scheduler while it leads.
 type Core struct {
-	config        Config
-	client        *wire.Client
-	storage       mill.Storage
-	host          *group.Host
-	stateMachine  *stateMachine
-	leaderClient  *LeaderClient
-	workers       workerTable
-	clocks        peerClocks
-	outbox        *drive.Outbox[WorkerUpdate]
-	pool          *ants.Pool
-	placer        mill.Placer
+	config       Config
+	client       *wire.Client
+	storage      mill.Storage
+	host         *group.Host
+	stateMachine *stateMachine
+	leaderClient *LeaderClient
+	workers      workerTable
+	clocks       peerClocks
+	outbox       *drive.Outbox[WorkerUpdate]
+	pool         *ants.Pool
+	placer       mill.Placer
+	// relaySender and relayServer are nil where orders are not sent by calls.
+	relaySender   *relay.Sender
+	relayServer   *relay.Server
 	runner        atomic.Pointer[lead.Runner]
 	commitLatency tally.Histogram
 	ctx           context.Context
@@ -218,10 +224,34 @@
 
 	c.host = host
 	c.outbox = drive.NewOutbox[WorkerUpdate](ctx, c.client, MethodForward)
+	c.openRelay(ctx)
 
 	return nil
 }
 
+// openRelay prepares this process to relay orders, and to send them through relays when it leads.
+func (c *Core) openRelay(ctx context.Context) {
+	if c.config.OrderQueue != nil || c.config.DataCentre == "" {
+		return
+	}
+
+	address, orders := c.config.Address, c.config.Orders
+	c.relayServer = relay.NewServer(ctx, address, c.client, orders, c.pool)
+	c.relaySender = relay.NewSender(ctx, address, c.client, orders, c.workers.dataCentre, c.config.Scope)
+	c.leaderClient.OfferRelay(c.config.DataCentre)
+}
+
+// orders returns the channel for orders in a term, which lasts as long as the context.
+func (c *Core) orders(ctx context.Context, term uint64) mill.WorkerOrders {
+	if c.relaySender == nil {
+		return c.config.Orders
+	}
+
+	go c.relaySender.Run(ctx, term)
+
+	return c.relaySender
+}
+
 // peers returns the seeds other than this process.
 func (c *Core) peers(seeds []string) []raft.Server {
 	peers := make([]raft.Server, 0, len(seeds))
@@ -351,7 +381,7 @@
 func (c *Core) startScheduler(ctx context.Context, term uint64, termStart time.Time) {
 	scheduler := lead.New(c.config.Bounds, term, termStart, c.stateMachine.state, c.placer)
 	runner := lead.NewRunner(ctx, scheduler, lead.Dependencies{
-		Orders: c.config.Orders,
+		Orders: c.orders(ctx, term),
 
 		Machines: c.config.Machines,
 		Scope:    c.config.Scope,
--- a/internal/core/leader_client.go
+++ b/internal/core/leader_client.go
@@ -31,6 +31,7 @@
 	client         *wire.Client
 	seeds          []string
 	advisorAddress string
+	relayFor       string
 	mu             sync.Mutex
 	leader         string
 	term           uint64
@@ -46,6 +47,12 @@
 	return &LeaderClient{client: client, seeds: seeds, advisorAddress: advisor, lastContact: time.Now()}
 }
 
+// OfferRelay has the client offer this process to the leader as a relay for orders to the workers of a data
+// centre. It must be called before Run.
+func (c *LeaderClient) OfferRelay(dataCentre string) {
+	c.relayFor = dataCentre
+}
+
 // SetSeeds replaces the addresses to start from.
 func (c *LeaderClient) SetSeeds(seeds []string) {
 	c.mu.Lock()
@@ -95,6 +102,7 @@
 	reply, err := wire.Call[FollowRequest, FollowReply](limit, c.client, address, MethodFollow, &FollowRequest{
 		Version:   c.version(),
 		Advisor:   c.advisorAddress,
+		RelayFor:  c.relayFor,
 		UnixMilli: time.Now().UnixMilli(),
 		WaitMilli: longPollTimeout.Milliseconds(),
 	})
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -81,6 +81,8 @@
 	Version uint64
 	// Advisor is the address at which the sender asks the advisor on the leader's behalf, or "".
 	Advisor string
+	// RelayFor is the data centre for which the sender relays orders to workers, or "".
+	RelayFor string `cbor:",omitempty"`
 	// UnixMilli is the sender's wall-clock time, in milliseconds since 1970.
 	UnixMilli int64
 	// WaitMilli is how long the reply may be held back.
--- a/internal/core/worker_table.go
+++ b/internal/core/worker_table.go
@@ -49,6 +49,19 @@
 	delete(t.byID, id)
 }
 
+// dataCentre returns the data centre of a worker, or "" if it is not known.
+func (t *workerTable) dataCentre(id string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	known, ok := t.byID[id]
+	if !ok {
+		return ""
+	}
+
+	return known.status.DataCentre
+}
+
 // len returns the number of workers in the table.
 func (t *workerTable) len() int {
 	t.mu.Lock()
--- a/internal/drive/outbox.go
+++ b/internal/drive/outbox.go
@@ -34,8 +34,10 @@
 	ctx    context.Context
 	client *wire.Client
 	method string
-	mu     sync.Mutex
-	queues map[string]*ring.Ring[M]
+	// interval is the least time between two batches for one address.
+	interval time.Duration
+	mu       sync.Mutex
+	queues   map[string]*ring.Ring[M]
 }
 
 // NewOutbox returns an outbox that delivers messages by calling method until the context ends.
@@ -48,9 +50,15 @@
 	}
 }
 
-// Send queues a message for the process at address.
-func (o *Outbox[M]) Send(address string, message M) {
-	o.queueFor(address).Offer(message)
+// SetInterval sets the least time between two batches for one address, so that frequent messages share batches.
+// A message after a longer pause is sent at once. It must be called before Send.
+func (o *Outbox[M]) SetInterval(interval time.Duration) {
+	o.interval = interval
+}
+
+// Send queues a message for the process at address, and reports false if the queue is full.
+func (o *Outbox[M]) Send(address string, message M) bool {
+	return o.queueFor(address).Offer(message)
 }
 
 func (o *Outbox[M]) queueFor(address string) *ring.Ring[M] {
@@ -75,14 +83,21 @@
 	var (
 		current   *delivery[M]
 		connected = true
+		sentAt    time.Time
 	)
 
 	for {
+		if wait := o.interval - time.Since(sentAt); wait > 0 {
+			Pause(o.ctx, wait)
+		}
+
 		messages, err := queue.TakeBatch(o.ctx, outboxBatch)
 		if err != nil {
 			return
 		}
 
+		sentAt = time.Now()
+
 		if current.needsReopen() {
 			current.close()
 
--- a/internal/httpd/listen.go
+++ b/internal/httpd/listen.go
@@ -10,7 +10,8 @@
 )
 
 // Listen listens on the TCP address from a settings field. On failure it
-// returns mill.ErrInvalid with the field and the address.
+// returns mill.ErrInvalid with the field and the address. Accept of the listener
+// retries after errors, for example while the process has no descriptor left.
 func Listen(ctx context.Context, field, address string) (net.Listener, error) {
 	var config net.ListenConfig
 
@@ -19,5 +20,5 @@
 		return nil, merry.Prependf(mill.ErrInvalid, "%s %q: want an address that is free on this VM: %v", field, address, err)
 	}
 
-	return listener, nil
+	return &resilientListener{Listener: listener}, nil
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -1,6 +1,10 @@
 package jobs
 
-import "github.com/cranberrymill/cranberrymill/pkg/mill"
+import (
+	"iter"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
 
 // TaskPhase is the phase of a task's life cycle.
 type TaskPhase uint8
@@ -143,28 +147,26 @@
 	return step, &step.Tasks[id.Index]
 }
 
-// DueOccurrences returns the occurrences that have started and are not complete, and those that
+// DueOccurrences yields the occurrences that have started and are not complete, and those that
 // have not started but are due at the given wall clock time. The caller must not modify them.
-func (j *Job) DueOccurrences(wallMilli int64) map[int]*Occurrence {
-	due := make(map[int]*Occurrence, len(j.Occurrences))
-
-	for number, occurrence := range j.Occurrences {
-		if !occurrence.Complete() {
-			due[number] = occurrence
+func (j *Job) DueOccurrences(wallMilli int64) iter.Seq2[int, *Occurrence] {
+	return func(yield func(int, *Occurrence) bool) {
+		for number, occurrence := range j.Occurrences {
+			if !occurrence.Complete() && !yield(number, occurrence) {
+				return
+			}
 		}
-	}
 
-	for number := range j.Work.Repeat.Times {
-		if j.Work.Repeat.DueUnixMilli(number) > wallMilli {
-			break
-		}
+		for number := range j.Work.Repeat.Times {
+			if j.Work.Repeat.DueUnixMilli(number) > wallMilli {
+				return
+			}
 
-		if _, started := j.Occurrences[number]; !started {
-			due[number] = j.newOccurrence()
+			if _, started := j.Occurrences[number]; !started && !yield(number, j.newOccurrence()) {
+				return
+			}
 		}
 	}
-
-	return due
 }
 
 // newOccurrence returns the initial state of an occurrence.
--- a/internal/lead/advice_reserve.go
+++ b/internal/lead/advice_reserve.go
@@ -36,7 +36,7 @@
 // reserveOn reserves capacity on those workers that pass the filter, and reports whether the step
 // fits on them.
 func (s *Scheduler) reserveOn(c *candidate, among []*worker, filter func(w *worker) bool) bool {
-	described, workers := c.eligibleWorkers(among, filter)
+	described, workers := s.eligibleWorkers(c, among, filter)
 
 	chosen := plan.PlaceTasks(described, c.demand(), len(c.waiting), s.placer, nil)
 	if len(chosen) == 0 || (c.step.Gang && len(chosen) < len(c.waiting)) {
--- a/internal/lead/bench_test.go
+++ b/internal/lead/bench_test.go
@@ -13,7 +13,7 @@
 // BenchmarkNextAdvised measures one plan on a pool with free capacity in which hundreds of steps
 // wait for an advisor that answers few requests at a time.
 func BenchmarkNextAdvised(b *testing.B) {
-	for _, workers := range []int{48, 350, 4400} {
+	for _, workers := range []int{48, 350, 1100, 4400} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			state, scheduler := benchmarkPool(workers)
 
@@ -83,3 +83,38 @@
 
 	state.Apply(&jobs.Command{Submit: &jobs.Submit{Job: id, Queue: queue, UnixMilli: simStart.UnixMilli(), Work: work}})
 }
+
+// BenchmarkNextLarge measures one plan at the size of the large deployment: 1,100 workers, 6,000 running tasks of 600
+// jobs, and some steps that wait, as many as arrive in a tenth of a second.
+func BenchmarkNextLarge(b *testing.B) {
+	const workers, open, tasksEach, waiting = 1100, 600, 10, 7
+
+	state, scheduler := benchmarkPool(workers)
+
+	for i := range 150 {
+		scheduler.AdvisorReachable(fmt.Sprintf("front%d", i), simStart)
+	}
+
+	for i := range open {
+		benchmarkSubmit(state, fmt.Sprintf("open%d", i), "free", tasksEach, 500)
+	}
+
+	actions := scheduler.Next(simStart, simStart.UnixMilli(), state)
+	results := make([]jobs.Result, 0, len(actions.Commands))
+
+	for i := range actions.Commands {
+		results = append(results, state.Apply(&actions.Commands[i]))
+	}
+
+	scheduler.Committed(actions.Commands, results, nil, simStart)
+
+	for i := range waiting {
+		benchmarkSubmit(state, fmt.Sprintf("wait%d", i), "advised", 25, 1000)
+	}
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		scheduler.Next(simStart, simStart.UnixMilli(), state)
+	}
+}
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -106,17 +106,23 @@
 }
 
 // eligibleWorkers returns the workers that have free, unreserved capacity for a task of the step and
-// that pass the filter, together with their descriptions for package plan; a nil filter passes all.
-func (c *candidate) eligibleWorkers(
-	workers []*worker, filter func(w *worker) bool,
+// that pass the filter, together with their descriptions for package plan; a nil filter passes all. The
+// results are valid until the next call.
+func (s *Scheduler) eligibleWorkers(
+	c *candidate, workers []*worker, filter func(w *worker) bool,
 ) (described []plan.CandidateWorker, eligible []*worker) {
+	described, eligible = s.describedBuffer[:0], s.eligibleBuffer[:0]
+	perTask := c.step.Reserves()
+
 	for _, w := range workers {
-		if c.compatible(w) && c.step.Reserves().Fits(w.unreserved()) && (filter == nil || filter(w)) {
+		if perTask.Fits(w.unreserved()) && c.compatible(w) && (filter == nil || filter(w)) {
 			described = append(described, c.describe(w))
 			eligible = append(eligible, w)
 		}
 	}
 
+	s.describedBuffer, s.eligibleBuffer = described, eligible
+
 	return described, eligible
 }
 
--- a/internal/lead/fuzz_test.go
+++ b/internal/lead/fuzz_test.go
@@ -169,6 +169,7 @@
 func (d *actionDrawer) faults(t *rapid.T) {
 	d.sim.faults = faults{
 		lostOrder:  rapid.SampledFrom([]int{0, 0, 10, 40}).Draw(t, "lostOrder"),
+		unsent:     rapid.SampledFrom([]int{0, 0, 10, 40}).Draw(t, "unsent"),
 		lostAnswer: rapid.SampledFrom([]int{0, 0, 10, 40}).Draw(t, "lostAnswer"),
 		late:       rapid.SampledFrom([]int{0, 0, 10, 30}).Draw(t, "late"),
 	}
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -258,3 +258,24 @@
 
 	return strings.Join(lines, "\n")
 }
+
+// checkIndexes compares what the scheduler keeps between plans with what a search through everything finds.
+func (sim *simulation) checkIndexes(s *Scheduler) {
+	for _, r := range s.runs {
+		due := r.cause == "" && (r.stopping || r.phase == runStarting)
+		if _, listed := s.ordersDue[r]; due && !listed {
+			sim.t.Fatalf("%s: task %s run %d waits for an order and is not listed", sim.elapsed(), r.task, r.number)
+		}
+	}
+
+	sorted := slices.SortedFunc(maps.Values(s.workers), byID)
+	if !slices.Equal(sorted, s.workersByID()) {
+		sim.t.Fatalf("%s: the sorted workers are out of date", sim.elapsed())
+	}
+
+	for _, w := range s.workers {
+		if w.recordCurrent && (w.recorded == nil || !w.recorded.SameStableFields(&w.status)) {
+			sim.t.Fatalf("%s: the record of %s is out of date", sim.elapsed(), w.status.ID)
+		}
+	}
+}
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -29,35 +29,44 @@
 
 	for index := range step.Tasks {
 		if r, ok := s.runs[id.Task(index)]; ok {
-			r.stopping = true
+			s.stopRun(r)
 		}
 	}
 }
 
+// stopRun has a run stopped.
+func (s *Scheduler) stopRun(r *run) {
+	r.stopping = true
+	s.ordersDue[r] = struct{}{}
+}
+
 // stopGang stops the other members of a gang's run.
 func (s *Scheduler) stopGang(r *run) {
 	for index := range r.step.Count {
 		member, ok := s.runs[r.task.Task(index)]
 		if ok && member.number == r.number {
-			member.stopping = true
+			s.stopRun(member)
 		}
 	}
 }
 
 // addOrders adds the orders to workers that are due.
 func (s *Scheduler) addOrders(actions *Actions, now time.Time) {
-	for _, r := range s.runs {
+	for r := range s.ordersDue {
 		switch {
-		case r.cause != "" || r.phase == runProposed:
+		case r.cause != "" || s.runs[r.task] != r:
+			delete(s.ordersDue, r)
+		case r.phase == runProposed:
 		case r.stopping:
 			s.addStop(actions, r, now)
 		case r.phase == runStarting:
 			s.addStart(actions, r, now)
 		default:
+			delete(s.ordersDue, r)
 		}
 	}
 
-	for _, w := range s.workers {
+	for _, w := range s.workersByID() {
 		s.addRenewal(actions, w, now)
 		s.addPaces(actions, w, now)
 	}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -47,7 +47,7 @@
 
 // placeStep places as many of a step's waiting tasks as fit, or a gang's only all together.
 func (s *Scheduler) placeStep(c *candidate, p *pass) []jobs.Command {
-	described, workers := c.eligibleWorkers(s.ticketHolders(c, p), nil)
+	described, workers := s.eligibleWorkers(c, s.ticketHolders(c, p), nil)
 	chosen := plan.PlaceTasks(described, c.demand(), len(c.waiting), s.placer,
 		s.avoidFailedWorkers(c, p.pool(c).workers, p.now))
 	if c.step.Gang && len(chosen) < len(c.waiting) {
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -97,26 +97,22 @@
 // pools returns the workers that accept new work, by service, and clears the reservations of the
 // previous pass.
 func (s *Scheduler) pools(now time.Time) map[string]*pool {
-	usable := make([]*worker, 0, len(s.workers))
+	pools := make(map[string]*pool)
 
-	for _, w := range s.workers {
-		if s.acceptsWork(w, now) {
-			usable = append(usable, w)
+	for _, w := range s.workersByID() {
+		if !s.acceptsWork(w, now) {
+			continue
 		}
-	}
-
-	slices.SortFunc(usable, byID)
-
-	pools := make(map[string]*pool)
 
-	for _, w := range usable {
 		w.reserved = mill.Resources{}
 
-		if pools[w.status.Service] == nil {
-			pools[w.status.Service] = &pool{}
+		found, ok := pools[w.status.Service]
+		if !ok {
+			found = &pool{}
+			pools[w.status.Service] = found
 		}
 
-		pools[w.status.Service].add(w)
+		found.add(w)
 	}
 
 	return pools
--- a/internal/lead/preempt.go
+++ b/internal/lead/preempt.go
@@ -60,7 +60,7 @@
 	res.worker.reserve(c.step.Reserves())
 
 	for _, r := range res.victims {
-		r.stopping = true
+		s.stopRun(r)
 		s.addEvent(EventPreempt, r, c.id.String())
 	}
 
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -31,6 +31,8 @@
 		r.stopAcknowledged = true
 	case mill.OutcomeUnanswered, mill.OutcomeFenced:
 		s.retryStart(r, now)
+	case mill.OutcomeNotSent:
+		s.retryUnsentStart(r, now)
 	default:
 		s.startRefused(r, reply.Outcome, now)
 	}
@@ -59,12 +61,28 @@
 	}
 }
 
+// retryUnsentStart schedules a start order again that was not sent. If none of the run's start orders was
+// ever sent, the run has certainly not started, and after the last attempt its task can be placed elsewhere at
+// once.
+func (s *Scheduler) retryUnsentStart(r *run, now time.Time) {
+	r.unsentStarts++
+
+	if r.startAttempts < maxStartAttempts || r.unsentStarts < r.startAttempts {
+		s.retryStart(r, now)
+
+		return
+	}
+
+	r.worker.health.Quarantine(now)
+	s.finishRun(r, mill.FinishNotStarted)
+}
+
 // startRefused finishes a run that has not started. If an earlier start order for it was not answered,
 // that order may still be carried out, so the run has to be stopped first.
 func (s *Scheduler) startRefused(r *run, outcome mill.OrderOutcome, now time.Time) {
 	s.applyRefusal(r, outcome, now)
 
-	if r.startAttempts > 1 {
+	if r.startAttempts-r.unsentStarts > 1 {
 		s.markDoubtful(r, now)
 
 		return
@@ -94,13 +112,13 @@
 // markDoubtful stops a run that may or may not have started, or may still start.
 func (s *Scheduler) markDoubtful(r *run, now time.Time) {
 	r.phase = runDoubtful
-	r.stopping = true
+	s.stopRun(r)
 	r.updatedAt = now
 }
 
 // StopAnswered records a worker's reply to a stop order.
 func (s *Scheduler) StopAnswered(stop *Stop, reply mill.OrderReply, now time.Time) {
-	if reply.Outcome == mill.OutcomeUnanswered {
+	if reply.Outcome == mill.OutcomeUnanswered || reply.Outcome == mill.OutcomeNotSent {
 		return
 	}
 
@@ -178,6 +196,7 @@
 	if reply.StartUnixMilli != 0 && w.status.StartUnixMilli != 0 && reply.StartUnixMilli != w.status.StartUnixMilli {
 		s.workerRestarted(w, reply.ClockMilli, now)
 		w.status.StartUnixMilli = reply.StartUnixMilli
+		w.recordCurrent = false
 	}
 
 	w.clock.observe(reply.ClockMilli, now)
@@ -276,7 +295,7 @@
 	}
 
 	if r.phase == runStarted && !r.stopping && now.Sub(r.progressAt) > limit {
-		r.stopping = true
+		s.stopRun(r)
 		r.worker.health.Quarantine(now)
 		s.addEvent(EventStalled, r, "")
 	}
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -39,6 +39,8 @@
 	resumeFrom    string
 	ticket        string
 	startAttempts int
+	// unsentStarts is how many of these attempts sent nothing to the worker.
+	unsentStarts  int
 	startInFlight bool
 	nextStart     time.Time
 	// updatedAt is when the scheduler last observed or decided something about the run on its
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -23,6 +23,10 @@
 	// planRestFactor is the pause after a plan as a multiple of its duration, so that the rest of
 	// the process, above all consensus, gets most of the processor under any backlog.
 	planRestFactor = 3
+	// spacedPlanFactor is the same multiple for plans that are quick: they are made less often, so that more
+	// replies share one plan and one commit, but not less than each spacedPlanInterval.
+	spacedPlanFactor   = 8
+	spacedPlanInterval = 15 * time.Millisecond
 	// maxPlanInterval is the longest time between two plans: expired leases and retries are handled
 	// then.
 	maxPlanInterval = 50 * time.Millisecond
@@ -114,10 +118,15 @@
 		r.perform(&actions)
 		r.logEvents()
 		r.logSummary(now)
-		drive.Pause(r.context, max(minPlanInterval, planRestFactor*time.Since(now)))
+		drive.Pause(r.context, restAfter(time.Since(now)))
 	}
 }
 
+// restAfter returns the pause after a plan that took the given time.
+func restAfter(took time.Duration) time.Duration {
+	return max(minPlanInterval, min(spacedPlanFactor*took, spacedPlanInterval), planRestFactor*took)
+}
+
 // handleUpdates waits for updates and passes them to the scheduler. It returns after maxPlanInterval
 // if there are none.
 func (r *Runner) handleUpdates() {
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -1,6 +1,8 @@
 package lead
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cranberrymill/cranberrymill/internal/jobs"
@@ -16,9 +18,13 @@
 	termStart time.Time
 	placer    mill.Placer
 	workers   map[string]*worker
+	// sortedWorkers holds the workers by id; nil after one was added or deleted.
+	sortedWorkers []*worker
 	// runs holds the runs that may be active on a worker, and those whose placement is not
 	// committed yet.
-	runs             map[mill.TaskID]*run
+	runs map[mill.TaskID]*run
+	// ordersDue holds the runs that may need a start or stop order.
+	ordersDue        map[*run]struct{}
 	advice           map[mill.StepID]*advice
 	advisorAddresses map[string]*advisorAddress
 	// waitingSinceFailure holds since when tasks that have failed wait for a worker on which they
@@ -43,6 +49,9 @@
 	// forgottenWorkers lists unreachable workers whose records are to be removed from the state.
 	forgottenWorkers []string
 	events           []Event
+	// describedBuffer and eligibleBuffer are reused by eligibleWorkers.
+	describedBuffer []plan.CandidateWorker
+	eligibleBuffer  []*worker
 	// waitingSteps counts the steps that had unplaced tasks after the last plan.
 	waitingSteps int
 }
@@ -80,6 +89,7 @@
 		placer:           placer,
 		workers:          make(map[string]*worker),
 		runs:             make(map[mill.TaskID]*run),
+		ordersDue:        make(map[*run]struct{}),
 		advice:           make(map[mill.StepID]*advice),
 		advisorAddresses: make(map[string]*advisorAddress),
 		orphans:          make(map[mill.RunRef]orphan),
@@ -139,11 +149,21 @@
 	if !ok {
 		w = newWorker(id)
 		s.workers[id] = w
+		s.sortedWorkers = nil
 	}
 
 	return w
 }
 
+// workersByID returns the workers sorted by id. The caller must not modify the slice.
+func (s *Scheduler) workersByID() []*worker {
+	if s.sortedWorkers == nil {
+		s.sortedWorkers = slices.SortedFunc(maps.Values(s.workers), byID)
+	}
+
+	return s.sortedWorkers
+}
+
 // Report records a worker's status that was received at the given time. A status that is older than
 // the last one is ignored.
 func (s *Scheduler) Report(status *mill.WorkerStatus, at time.Time) {
@@ -157,6 +177,7 @@
 		s.workerRestarted(w, status.ClockMilli, at)
 	}
 
+	w.recordCurrent = w.recordCurrent && w.status.SameStableFields(status)
 	w.status = *status
 	w.lastHeard = at
 	w.gone = false
@@ -239,9 +260,9 @@
 // expireRuns finishes the runs of workers that have certainly stopped, or whose leases have all
 // expired.
 func (s *Scheduler) expireRuns(now time.Time) {
-	for id, w := range s.workers {
+	for _, w := range s.workersByID() {
 		if len(w.runs) == 0 {
-			s.forgetIfUnreachable(id, w, now)
+			s.forgetIfUnreachable(w.status.ID, w, now)
 
 			continue
 		}
@@ -264,6 +285,7 @@
 	}
 
 	delete(s.workers, id)
+	s.sortedWorkers = nil
 
 	if w.recorded != nil {
 		s.forgottenWorkers = append(s.forgottenWorkers, id)
@@ -405,6 +427,7 @@
 
 	r.phase = runStarting
 	r.nextStart = now
+	s.ordersDue[r] = struct{}{}
 	s.addEvent(EventPlace, r, "")
 }
 
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -61,6 +61,7 @@
 // faults is the probability of each fault of an order, in percent.
 type faults struct {
 	lostOrder  int
+	unsent     int
 	lostAnswer int
 	late       int
 }
@@ -325,6 +326,8 @@
 	l.scheduler.AdvisorReachable("here", sim.now)
 	l.scheduler.AdvisorReachable("there", sim.now)
 
+	sim.checkIndexes(l.scheduler)
+
 	actions := l.scheduler.Next(sim.now, sim.now.UnixMilli(), sim.state)
 	l.scheduler.TakeEvents()
 
--- a/internal/lead/transport_test.go
+++ b/internal/lead/transport_test.go
@@ -11,16 +11,18 @@
 
 // deliver delivers an order to an executor and its reply to the leader, subject to the simulated
 // faults.
-func (sim *simulation) deliver(id string, carryOut func(e *executor, late bool), answer func(answered bool)) {
+func (sim *simulation) deliver(id string, carryOut func(e *executor, late bool), answer func(outcome mill.OrderOutcome)) {
 	e := sim.find(id)
 	incarnation := e.startedAt
 	delay := time.Duration(1+sim.choices%15) * time.Millisecond
 
 	switch {
+	case sim.chance("unsent order", sim.faults.unsent):
+		sim.after(delay, func() { answer(mill.OutcomeNotSent) })
 	case sim.chance("lost order", sim.faults.lostOrder):
-		sim.after(defaultOrderTimeout, func() { answer(false) })
+		sim.after(defaultOrderTimeout, func() { answer(mill.OutcomeUnanswered) })
 	case sim.chance("late", sim.faults.late):
-		sim.after(defaultOrderTimeout, func() { answer(false) })
+		sim.after(defaultOrderTimeout, func() { answer(mill.OutcomeUnanswered) })
 		// A delayed order has waited at the worker, so it is lost if the worker restarts.
 		sim.after(time.Duration(2+sim.choices%10)*time.Second, func() {
 			if e.up && e.startedAt.Equal(incarnation) {
@@ -29,17 +31,23 @@
 		})
 	case sim.chance("lost answer", sim.faults.lostAnswer):
 		sim.after(delay, func() { sim.deliverIfReachable(e, func() { carryOut(e, false) }) })
-		sim.after(defaultOrderTimeout, func() { answer(false) })
+		sim.after(defaultOrderTimeout, func() { answer(mill.OutcomeUnanswered) })
 	default:
 		sim.after(delay, func() {
 			if !e.up || e.disconnected {
-				sim.after(defaultOrderTimeout, func() { answer(false) })
+				sim.after(defaultOrderTimeout, func() { answer(mill.OutcomeUnanswered) })
 
 				return
 			}
 
 			carryOut(e, false)
-			sim.after(delay, func() { answer(!e.disconnected) })
+			sim.after(delay, func() {
+				if e.disconnected {
+					answer(mill.OutcomeUnanswered)
+				} else {
+					answer(mill.OutcomeAccepted)
+				}
+			})
 		})
 	}
 }
@@ -53,9 +61,11 @@
 func (sim *simulation) sendStart(l *leader, start *Start) {
 	var reply mill.OrderReply
 
-	sim.deliver(start.To.ID, func(e *executor, late bool) { reply = e.start(&start.Order, late) }, func(answered bool) {
-		if !answered {
-			reply = mill.OrderReply{}
+	carryOut := func(e *executor, late bool) { reply = e.start(&start.Order, late) }
+
+	sim.deliver(start.To.ID, carryOut, func(outcome mill.OrderOutcome) {
+		if outcome != mill.OutcomeAccepted {
+			reply = mill.OrderReply{Outcome: outcome}
 		}
 
 		l.scheduler.StartAnswered(start, reply, sim.now)
@@ -65,9 +75,11 @@
 func (sim *simulation) sendStop(l *leader, stop *Stop) {
 	var reply mill.OrderReply
 
-	sim.deliver(stop.To.ID, func(e *executor, _ bool) { reply = e.stop(stop.Run, stop.FencingToken) }, func(answered bool) {
-		if !answered {
-			reply = mill.OrderReply{}
+	carryOut := func(e *executor, _ bool) { reply = e.stop(stop.Run, stop.FencingToken) }
+
+	sim.deliver(stop.To.ID, carryOut, func(outcome mill.OrderOutcome) {
+		if outcome != mill.OutcomeAccepted {
+			reply = mill.OrderReply{Outcome: outcome}
 		}
 
 		l.scheduler.StopAnswered(stop, reply, sim.now)
@@ -77,9 +89,9 @@
 func (sim *simulation) sendPace(l *leader, pace *Pace) {
 	var reply mill.OrderReply
 
-	sim.deliver(pace.To.ID, func(e *executor, _ bool) { reply = e.pace(&pace.Order) }, func(answered bool) {
-		if !answered {
-			reply = mill.OrderReply{}
+	sim.deliver(pace.To.ID, func(e *executor, _ bool) { reply = e.pace(&pace.Order) }, func(outcome mill.OrderOutcome) {
+		if outcome != mill.OutcomeAccepted {
+			reply = mill.OrderReply{Outcome: outcome}
 		}
 
 		l.scheduler.PaceAnswered(pace, reply, sim.now)
@@ -91,9 +103,9 @@
 
 	sentAt := sim.now
 
-	sim.deliver(renew.To.ID, func(e *executor, _ bool) { reply = e.renew(&renew.Order) }, func(answered bool) {
-		if !answered {
-			reply = mill.RenewReply{}
+	sim.deliver(renew.To.ID, func(e *executor, _ bool) { reply = e.renew(&renew.Order) }, func(outcome mill.OrderOutcome) {
+		if outcome != mill.OutcomeAccepted {
+			reply = mill.RenewReply{OrderReply: mill.OrderReply{Outcome: outcome}}
 		}
 
 		l.scheduler.RenewAnswered(renew, &reply, sentAt, sim.now)
--- a/internal/lead/worker_records.go
+++ b/internal/lead/worker_records.go
@@ -22,12 +22,12 @@
 func (s *Scheduler) updateWorkerRecords() []jobs.Command {
 	var commands []jobs.Command
 
-	for id, w := range s.workers {
+	for _, w := range s.workersByID() {
 		if len(commands) == maxRecordChanges {
 			break
 		}
 
-		if command, due := w.recordDue(id); due {
+		if command, due := w.recordDue(w.status.ID); due {
 			w.recording = true
 
 			commands = append(commands, command)
@@ -50,7 +50,11 @@
 		return jobs.Command{}, false
 	case leaving:
 		return jobs.Command{ForgetWorker: id}, w.recorded != nil && len(w.runs) == 0
-	case w.lastHeard.IsZero() || w.recorded != nil && w.recorded.SameStableFields(&w.status):
+	case w.lastHeard.IsZero() || w.recordCurrent:
+		return jobs.Command{}, false
+	case w.recorded != nil && w.recorded.SameStableFields(&w.status):
+		w.recordCurrent = true
+
 		return jobs.Command{}, false
 	default:
 		stable := w.status.StableFields()
@@ -72,6 +76,7 @@
 	}
 
 	w.recording = false
+	w.recordCurrent = false
 
 	if committed {
 		w.recorded = command.RecordWorker
--- a/internal/plan/placement.go
+++ b/internal/plan/placement.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"container/heap"
+
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -56,16 +58,7 @@
 			continue
 		}
 
-		score := placer.Score(&worker.View, demand.PerTask) - slownessPenalty*demand.SpeedPreference*worker.Slowness
-		if worker.Contended {
-			score -= contentionPenalty
-		}
-
-		if demand.PreferredRack != "" && worker.View.Rack == demand.PreferredRack {
-			score += preferredRackBonus
-		}
-
-		if best < 0 || score > bestScore {
+		if score := worker.score(demand, placer); best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -73,6 +66,20 @@
 	return best
 }
 
+// score rates a worker for one more task of the step.
+func (w *CandidateWorker) score(demand *Demand, placer mill.Placer) float64 {
+	score := placer.Score(&w.View, demand.PerTask) - slownessPenalty*demand.SpeedPreference*w.Slowness
+	if w.Contended {
+		score -= contentionPenalty
+	}
+
+	if demand.PreferredRack != "" && w.View.Rack == demand.PreferredRack {
+		score += preferredRackBonus
+	}
+
+	return score
+}
+
 func (w *CandidateWorker) canTake(demand *Demand) bool {
 	if !demand.PerTask.Fits(w.View.Free) || (w.OnProbation && w.Busy) {
 		return false
@@ -103,13 +110,19 @@
 	return placeGreedily(workers, demand, count, placer, avoid)
 }
 
+// placeGreedily places one task after another on the worker with the highest score. Without an avoid function only
+// the score of the worker that was chosen last changes, so the others are not rated again.
 func placeGreedily(
 	workers []CandidateWorker, demand *Demand, count int, placer mill.Placer, avoid func(index int, worker string) bool,
 ) []int {
 	chosen := make([]int, 0, count)
 
+	if avoid == nil {
+		return placeByRating(chosen, workers, demand, count, placer)
+	}
+
 	for index := range count {
-		at := BestWorker(workers, demand, placer, func(worker string) bool { return avoid != nil && avoid(index, worker) })
+		at := BestWorker(workers, demand, placer, func(worker string) bool { return avoid(index, worker) })
 		if at < 0 {
 			break
 		}
@@ -121,34 +134,62 @@
 	return chosen
 }
 
+// placeByRating appends the worker of each task to chosen.
+func placeByRating(chosen []int, workers []CandidateWorker, demand *Demand, count int, placer mill.Placer) []int {
+	ranked := newRanking(workers, demand, placer)
+
+	for len(chosen) < count && len(ranked) > 0 {
+		best := &ranked[0]
+		worker := &workers[best.index]
+
+		worker.Reserve(demand.PerTask)
+		chosen = append(chosen, best.index)
+
+		if worker.canTake(demand) {
+			best.score = worker.score(demand, placer)
+			heap.Fix(&ranked, 0)
+		} else {
+			heap.Pop(&ranked)
+		}
+	}
+
+	return chosen
+}
+
 // placeOnOneRack returns nil when no rack has the capacity for all tasks.
 func placeOnOneRack(
 	workers []CandidateWorker, demand *Demand, count int, placer mill.Placer, avoid func(index int, worker string) bool,
 ) []int {
 	var racks []string
 
+	members := make(map[string][]int)
+
 	for i := range workers {
 		rack := workers[i].View.Rack
-		if len(racks) == 0 || racks[len(racks)-1] != rack {
+		if len(members[rack]) == 0 {
 			racks = append(racks, rack)
 		}
+
+		members[rack] = append(members[rack], i)
 	}
 
 	for _, rack := range racks {
-		onRack := append([]CandidateWorker(nil), workers...)
-		for i := range onRack {
-			if onRack[i].View.Rack != rack {
-				onRack[i].View.Free = mill.Resources{MilliCores: -1}
-			}
+		onRack := make([]CandidateWorker, 0, len(members[rack]))
+		for _, at := range members[rack] {
+			onRack = append(onRack, workers[at])
 		}
 
-		if chosen := placeGreedily(onRack, demand, count, placer, avoid); len(chosen) == count {
-			for _, at := range chosen {
-				workers[at].Reserve(demand.PerTask)
-			}
+		chosen := placeGreedily(onRack, demand, count, placer, avoid)
+		if len(chosen) < count {
+			continue
+		}
 
-			return chosen
+		for i, at := range chosen {
+			chosen[i] = members[rack][at]
+			workers[chosen[i]].Reserve(demand.PerTask)
 		}
+
+		return chosen
 	}
 
 	return nil
--- a/pkg/mill/orders.go
+++ b/pkg/mill/orders.go
@@ -57,10 +57,12 @@
 	OutcomeWorkerReplaced
 	// OutcomeInvalid means that the worker could not read the order.
 	OutcomeInvalid
+	// OutcomeNotSent means that nothing of the order was sent to the worker, and nothing of it will be.
+	OutcomeNotSent
 )
 
 var orderOutcomeNames = [...]string{
-	"unanswered", "accepted", "fenced", "ended", "late", "noRoom", "noTicket", "unhealthy", "gone", "invalid",
+	"unanswered", "accepted", "fenced", "ended", "late", "noRoom", "noTicket", "unhealthy", "gone", "invalid", "notSent",
 }
 
 // String returns the outcome's name in logs.
