Keep a process running when one request or order panics

Here no code recovered from a panic: one in a handler of HTTP requests or of calls between processes, or in the goroutine of an order, ended the process.

Now a request gets status 500 with its number and an unknown outcome, a call fails as possibly carried out, and an order counts as unanswered; each is logged with its stack. The replicated state machines stay as they are: there half a change must not be passed over.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -185,7 +185,7 @@
 
 func (e *Entry) newServer() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                       e.handle,
+		Handler:                       httpd.Recover(e.handle),
 		ErrorHandler:                  e.rejectMalformed,
 		StreamRequestBody:             true,
 		DisableHeaderNamesNormalizing: true,
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -189,10 +191,13 @@
 }
 
 func (r *Runner) start(start *Start) {
-	reply := r.sendOrder(func(ctx context.Context) mill.OrderReply {
+	var reply mill.OrderReply // An order whose call panics is unanswered.
+
+	defer func() { r.post(func(now time.Time) { r.scheduler.StartAnswered(start, reply, now) }) }()
+
+	reply = r.sendOrder(func(ctx context.Context) mill.OrderReply {
 		return r.dependencies.Orders.Start(ctx, start.To, &start.Order)
 	})
-	r.post(func(now time.Time) { r.scheduler.StartAnswered(start, reply, now) })
 }
 
 func (r *Runner) stop(stop *Stop) {
@@ -215,8 +220,11 @@
 	ctx, cancel := context.WithTimeout(r.context, renew.Order.Wait+max(replySlack, r.scheduler.bounds.OrderTimeout))
 	defer cancel()
 
-	reply := r.dependencies.Orders.Renew(ctx, renew.To, &renew.Order)
-	r.post(func(now time.Time) { r.scheduler.RenewAnswered(renew, &reply, sentAt, now) })
+	var reply mill.RenewReply
+
+	defer func() { r.post(func(now time.Time) { r.scheduler.RenewAnswered(renew, &reply, sentAt, now) }) }()
+
+	reply = r.dependencies.Orders.Renew(ctx, renew.To, &renew.Order)
 }
 
 // providerTimeout bounds a call to the provider, which may be slow.
@@ -259,23 +267,40 @@
 	ctx, cancel := context.WithTimeout(r.context, request.Timeout)
 	defer cancel()
 
+	var advice *mill.Advice // A request whose call panics has failed.
+
+	defer func() { r.post(func(now time.Time) { r.scheduler.AdviceAnswered(request, advice, now) }) }()
+
 	reply, err := r.dependencies.Advise(ctx, request)
 	if err != nil {
 		log.Warn().Err(err).Str("step", request.Step.String()).Str("caller", request.Address).Msg("request for advice failed")
 
-		reply = nil
+		return
 	}
 
-	r.post(func(now time.Time) { r.scheduler.AdviceAnswered(request, reply, now) })
+	advice = reply
 }
 
 // submit runs a call on the goroutine pool. If the pool is full, the call gets a goroutine of its
 // own: the calling goroutine must not wait, because it reads the replies that free the pool.
 func (r *Runner) submit(call func()) {
-	if err := r.dependencies.Pool.Submit(call); err != nil {
+	guarded := func() {
+		defer logPanic()
+		call()
+	}
+
+	if err := r.dependencies.Pool.Submit(guarded); err != nil {
 		log.Warn().Err(err).Msg("goroutine pool is full, starting another goroutine")
 
-		go call()
+		go guarded()
+	}
+}
+
+// logPanic logs the panic of a call, which must not end the process. Deferred functions of the call have reported
+// it to the scheduler as failed.
+func logPanic() {
+	if cause := recover(); cause != nil {
+		log.Error().Str("cause", fmt.Sprint(cause)).Str("stack", string(debug.Stack())).Msg("call to another process panicked")
 	}
 }
 
--- /dev/null
+++ b/internal/lead/runner_test.go
@@ -0,0 +1,104 @@
+package lead
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/place"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// panickingOrders panics at the first orders of each kind, and accepts the others.
+type panickingOrders struct {
+	starts, renewals atomic.Int64
+}
+
+func (o *panickingOrders) Start(context.Context, mill.WorkerRef, *mill.StartOrder) mill.OrderReply {
+	if o.starts.Add(1) == 1 {
+		panic("start")
+	}
+
+	return mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: 2}
+}
+
+func (o *panickingOrders) Stop(context.Context, mill.WorkerRef, mill.RunRef, uint64) mill.OrderReply {
+	panic("stop")
+}
+
+func (o *panickingOrders) Renew(context.Context, mill.WorkerRef, *mill.RenewOrder) mill.RenewReply {
+	if o.renewals.Add(1) == 1 {
+		panic("renew")
+	}
+
+	return mill.RenewReply{OrderReply: mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: 2}}
+}
+
+func (o *panickingOrders) Pace(context.Context, mill.WorkerRef, *mill.PaceOrder) mill.OrderReply {
+	panic("pace")
+}
+
+// TestPanickingOrders has the first start order and the first renewal panic, and expects both to count as unanswered
+// and to be sent again, in a process that goes on.
+func TestPanickingOrders(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	state := jobs.NewState()
+	state.Apply(&jobs.Command{Setup: simSetup()})
+	benchmarkSubmit(state, "job", "free", 1, 1000)
+
+	pool, err := ants.NewPool(8, ants.WithNonblocking(true))
+	assert.NilError(t, err)
+
+	defer pool.Release()
+
+	var mu sync.Mutex
+
+	orders := &panickingOrders{}
+	now := time.Now()
+	runner := NewRunner(ctx, New(Bounds{MaxLease: simMaxLease}, 1, now, state, place.Pack{}), Dependencies{
+		Orders: orders,
+		Pool:   pool,
+		Propose: func(commands []jobs.Command, done func(results []jobs.Result, err error)) {
+			mu.Lock()
+			defer mu.Unlock()
+
+			results := make([]jobs.Result, 0, len(commands))
+			for i := range commands {
+				results = append(results, state.Apply(&commands[i]))
+			}
+
+			done(results, nil)
+		},
+		View: func(read func(state *jobs.State)) {
+			mu.Lock()
+			defer mu.Unlock()
+
+			read(state)
+		},
+		WallMilli: time.Time.UnixMilli,
+	})
+
+	runner.Report(&mill.WorkerStatus{
+		ID: "w1", Service: "pool", Address: "a", Labels: []string{"a", "r"}, Rack: "r", ClockMilli: 1, Sequence: 1,
+		Capacity: mill.Resources{MilliCores: 4000, MemoryMiB: 4000},
+	}, now)
+
+	go runner.Run()
+
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if orders.starts.Load() > 1 && orders.renewals.Load() > 1 {
+			return poll.Success()
+		}
+
+		return poll.Continue("%d starts and %d renewals sent", orders.starts.Load(), orders.renewals.Load())
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(time.Millisecond))
+}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"runtime/debug"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmanager"
@@ -10,6 +12,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/phuslu/log"
 
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -37,8 +40,18 @@
 	s.methods[method] = handler
 }
 
-// HandleRPC answers one call.
-func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
+// HandleRPC answers one call. If the handler panics, the call fails with mill.ErrUnavailable, since it may have been
+// carried out, and the process goes on.
+func (s *Server) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			log.Error().Str("method", rpc).Str("cause", fmt.Sprint(cause)).Str("stack", string(debug.Stack())).
+				Msg("call handler panicked")
+
+			err = withCode(merry.Prependf(mill.ErrUnavailable, "method %q failed unexpectedly", rpc))
+		}
+	}()
+
 	method, ok := s.methods[rpc]
 	if !ok {
 		return withCode(merry.Prependf(mill.ErrNotFound, "method %q", rpc))
