Ask about more workers for gangs, and reserve workers without sorting runs

A request names 30 workers, so about nine are known to be allowed, and the gang then waits until eight of these are free. And each gang that waits sorted the runs of each of 308 workers by text in each plan.

Now a gang's request names enough workers to find three allowed ones for each that it needs (by the share that the advisor has allowed so far, 30 to 100), and is repeated for other workers while fewer are known. Runs are kept sorted, and each victim's urgency is found once in a plan. Quick plans are spaced a little more.

--- a/internal/lead/actions.go
+++ b/internal/lead/actions.go
@@ -57,6 +57,7 @@
 type AdviceRequest struct {
 	Address string
 	Step    mill.StepID
+	Queue   string
 	Workers []string
 	// Timeout is how long the reply may take.
 	Timeout time.Duration
--- a/internal/lead/advice_requests.go
+++ b/internal/lead/advice_requests.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cranberrymill/cranberrymill/internal/plan"
 )
 
 const (
@@ -55,11 +57,11 @@
 			break
 		}
 
-		if !c.canRequestAdvice(now) || len(c.advice.answeredFor) > 0 {
+		if !c.canRequestAdvice(now) || s.knowsEnough(c) {
 			continue
 		}
 
-		if workers := mostFreeIDs(s.compatibleWorkers(c, now)); len(workers) > 0 {
+		if workers := mostFreeIDs(s.unknownWorkers(c, now), s.adviceNames(c)); len(workers) > 0 {
 			requests = append(requests, s.newAdviceRequest(c, addresses[len(requests)], workers))
 		}
 	}
@@ -77,9 +79,10 @@
 	}
 
 	widened := slices.Clone(c.adviceWanted)
+	names := s.adviceNames(c)
 
-	for _, id := range mostFreeIDs(s.compatibleWorkers(c, now)) {
-		if len(widened) < maxWorkersPerRequest && !known(id) && !slices.Contains(widened, id) {
+	for _, id := range mostFreeIDs(s.compatibleWorkers(c, now), names) {
+		if len(widened) < names && !known(id) && !slices.Contains(widened, id) {
 			widened = append(widened, id)
 		}
 	}
@@ -95,6 +98,7 @@
 	return AdviceRequest{
 		Address: address,
 		Step:    c.id,
+		Queue:   c.queue.Name,
 		Workers: workers,
 		Timeout: c.queue.Advice.Cost(len(workers)) + adviceSlack,
 	}
@@ -102,7 +106,7 @@
 
 // hasQuickAdvice reports whether the advisor answers requests for the step's queue quickly.
 func (c *candidate) hasQuickAdvice() bool {
-	return c.queue.Advice.Cost(maxWorkersPerRequest) <= quickAdviceTime
+	return c.queue.Advice.Cost(plan.MinAdviceNames) <= quickAdviceTime
 }
 
 // canRequestAdvice reports whether the step needs advice and no request for it is outstanding.
@@ -137,9 +141,34 @@
 	return found
 }
 
-// mostFreeIDs returns the ids of the workers with the most free capacity, at most as many as one
-// request may name. It sorts the workers in place.
-func mostFreeIDs(workers []*worker) []string {
+// unknownWorkers returns the usable workers that could run the step if they were empty and that the advisor was not
+// asked about.
+func (s *Scheduler) unknownWorkers(c *candidate, now time.Time) []*worker {
+	return slices.DeleteFunc(s.compatibleWorkers(c, now), func(w *worker) bool { return c.advice.answeredFor[w.status.ID] })
+}
+
+// knowsEnough reports whether no early request for a step is worth its time: for a gang, once enough allowed workers
+// are known, and for other steps, which can start in part, once the advisor has answered.
+func (s *Scheduler) knowsEnough(c *candidate) bool {
+	if !c.step.Gang {
+		return len(c.advice.answeredFor) > 0
+	}
+
+	return len(c.advice.tickets) >= plan.KnownWanted(c.workersNeeded())
+}
+
+// adviceNames returns how many workers a request for a step names at the most.
+func (s *Scheduler) adviceNames(c *candidate) int {
+	if !c.step.Gang {
+		return plan.MinAdviceNames
+	}
+
+	return plan.AdviceNames(plan.KnownWanted(c.workersNeeded()), s.allowedShares.Share(c.queue.Name))
+}
+
+// mostFreeIDs returns the ids of the workers with the most free capacity, at most as many as the limit. It sorts the
+// workers in place.
+func mostFreeIDs(workers []*worker, limit int) []string {
 	slices.SortFunc(workers, func(a, b *worker) int {
 		x, y := a.free(), b.free()
 
@@ -150,9 +179,9 @@
 		)
 	})
 
-	ids := make([]string, 0, maxWorkersPerRequest)
+	ids := make([]string, 0, limit)
 
-	for _, w := range workers[:min(len(workers), maxWorkersPerRequest)] {
+	for _, w := range workers[:min(len(workers), limit)] {
 		ids = append(ids, w.status.ID)
 	}
 
--- a/internal/lead/advice_reserve.go
+++ b/internal/lead/advice_reserve.go
@@ -47,7 +47,7 @@
 		workers[at].reserve(c.step.Reserves())
 	}
 
-	c.adviceWanted = mostFreeIDs(workers)
+	c.adviceWanted = mostFreeIDs(workers, s.adviceNames(c))
 
 	return true
 }
--- a/internal/lead/backlog.go
+++ b/internal/lead/backlog.go
@@ -116,7 +116,7 @@
 
 	objective := time.Duration(c.queue.Stretch*float64(total)) + c.queue.Objective
 	if c.queue.Advice != nil {
-		objective += time.Duration(len(c.job.Work.Steps)) * c.queue.Advice.Cost(maxWorkersPerRequest)
+		objective += time.Duration(len(c.job.Work.Steps)) * c.queue.Advice.Cost(plan.MinAdviceNames)
 	}
 
 	return plan.Urgency{
--- a/internal/lead/bench_test.go
+++ b/internal/lead/bench_test.go
@@ -118,3 +118,53 @@
 		scheduler.Next(simStart, simStart.UnixMilli(), state)
 	}
 }
+
+// BenchmarkNextGangs measures one plan on a pool of workers with accelerators that small tasks fill, while gangs of
+// whole workers wait.
+func BenchmarkNextGangs(b *testing.B) {
+	const workers, waiting = 308, 40
+
+	state, scheduler := benchmarkPool(0)
+	scheduler.bounds.MaxStopTime = 900 * time.Millisecond
+
+	for i := range workers {
+		scheduler.Report(&mill.WorkerStatus{
+			ID: fmt.Sprintf("w%04d", i), Service: "pool", Address: "a", Labels: []string{"a", "r"}, Rack: "r",
+			Capacity: mill.Resources{MilliCores: 64000, MemoryMiB: 64000, Accelerators: 8}, ClockMilli: 1, Sequence: 1,
+		}, simStart)
+	}
+
+	submit := func(id string, step mill.Step) {
+		step.Estimate = time.Second
+		state.Apply(&jobs.Command{Submit: &jobs.Submit{
+			Job: id, Queue: "free", UnixMilli: simStart.UnixMilli(), Work: mill.Workload{Steps: []mill.Step{step}},
+		}})
+	}
+
+	for i := range 8 * workers / 40 {
+		submit(fmt.Sprintf("small%d", i), mill.Step{Count: 40, PerTask: mill.Resources{MilliCores: 5600, Accelerators: 1}})
+	}
+
+	actions := scheduler.Next(simStart, simStart.UnixMilli(), state)
+	results := make([]jobs.Result, 0, len(actions.Commands))
+
+	for i := range actions.Commands {
+		results = append(results, state.Apply(&actions.Commands[i]))
+	}
+
+	scheduler.Committed(actions.Commands, results, nil, simStart)
+
+	for _, r := range scheduler.runs {
+		scheduler.markStarted(r, simStart)
+	}
+
+	for i := range waiting {
+		submit(fmt.Sprintf("gang%d", i), mill.Step{Count: 8, Gang: true, PerTask: mill.Resources{MilliCores: 31000, Accelerators: 8}})
+	}
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		scheduler.Next(simStart, simStart.UnixMilli(), state)
+	}
+}
--- a/internal/lead/bounds.go
+++ b/internal/lead/bounds.go
@@ -78,9 +78,6 @@
 	reportTimeout = 5 * time.Second
 	// stallTimeout is how long a run may make no progress before it is considered hung.
 	stallTimeout = 1800 * time.Millisecond
-	// maxWorkersPerRequest is the most workers that one advice request names. A job's objective
-	// allows for the time of a request of this size, not of a larger one.
-	maxWorkersPerRequest = 30
 	// ticketMargin is deducted from a ticket's validity for the time its reply was on the way.
 	ticketMargin = 60 * time.Millisecond
 )
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -44,6 +44,8 @@
 	advice  *advice
 	// deliveryDelay is the time from a decision until the order reaches the worker.
 	deliveryDelay time.Duration
+	// tasksPerWorker is how many tasks of the step fit on the smallest worker of its pool.
+	tasksPerWorker int
 	// adviceWanted names the workers with capacity for the step that the advisor should be asked
 	// about.
 	adviceWanted []string
@@ -126,6 +128,13 @@
 	return described, eligible
 }
 
+// workersNeeded returns how many workers the waiting tasks need at once, if none of them runs anything else.
+func (c *candidate) workersNeeded() int {
+	perWorker := max(1, c.tasksPerWorker)
+
+	return (len(c.waiting) + perWorker - 1) / perWorker
+}
+
 // compatible reports whether the worker could run a task of the step if it were empty.
 func (c *candidate) compatible(w *worker) bool {
 	return w.status.Service == c.queue.Service && w.status.HasLabel(c.step.Label) &&
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -274,6 +274,10 @@
 	}
 
 	for _, w := range s.workers {
+		if len(w.runsByTask()) != len(w.runs) {
+			sim.t.Fatalf("%s: the sorted runs of %s are out of date", sim.elapsed(), w.status.ID)
+		}
+
 		if w.recordCurrent && (w.recorded == nil || !w.recorded.SameStableFields(&w.status)) {
 			sim.t.Fatalf("%s: the record of %s is out of date", sim.elapsed(), w.status.ID)
 		}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -17,6 +17,8 @@
 
 	for _, c := range candidates {
 		pool := p.pool(c)
+		c.tasksPerWorker = c.step.Reserves().TimesIn(pool.minCapacity)
+
 		if !plan.MayStart(&c.urgency, pool.free, pool.capacity) {
 			continue
 		}
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -20,6 +21,8 @@
 	// reservationsLeft limits the further steps for which the pass looks for capacity to reserve
 	// while the advisor is asked.
 	reservationsLeft int
+	// victims holds the urgency of the steps whose runs were considered for preemption.
+	victims map[mill.StepID]plan.Urgency
 }
 
 // newPass returns a pass in which no capacity is reserved and no advice is requested yet.
@@ -33,6 +36,7 @@
 		pools:            s.pools(now),
 		idleAddresses:    addresses,
 		reservationsLeft: len(addresses) + extraReservations,
+		victims:          make(map[mill.StepID]plan.Urgency),
 	}
 }
 
--- a/internal/lead/preempt.go
+++ b/internal/lead/preempt.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cranberrymill/cranberrymill/internal/plan"
@@ -91,14 +90,8 @@
 // newReservation returns when a worker would have capacity for a task of the step, and which runs
 // have to be preempted for that.
 func (s *Scheduler) newReservation(c *candidate, w *worker, p *pass) reservation {
-	runs := make([]*run, 0, len(w.runs))
-	running := make([]plan.RunningTask, 0, len(w.runs))
-
-	for _, r := range w.runs {
-		runs = append(runs, r)
-	}
-
-	slices.SortFunc(runs, func(a, b *run) int { return strings.Compare(a.task.String(), b.task.String()) })
+	runs := w.runsByTask()
+	running := s.runningBuffer[:0]
 
 	for _, r := range runs {
 		running = append(running, plan.RunningTask{
@@ -108,6 +101,8 @@
 		})
 	}
 
+	s.runningBuffer = running
+
 	wait, victims := plan.Preemption(w.free(), c.step.Reserves(), running, s.bounds.MaxStopTime)
 	res := reservation{worker: w, wait: wait}
 
@@ -120,7 +115,7 @@
 
 // preemptible reports whether a run may be stopped for a step that takes precedence.
 func (s *Scheduler) preemptible(r *run, c *candidate, p *pass) bool {
-	if r.phase != runStarted || r.stopping || r.step.Gang || s.bounds.MaxStopTime == 0 {
+	if !r.step.Checkpointing || r.phase != runStarted || r.stopping || r.step.Gang || s.bounds.MaxStopTime == 0 {
 		return false
 	}
 
@@ -129,7 +124,11 @@
 		return false
 	}
 
-	victim := s.newUrgency(s.newCandidate(job, p.state.Setup(), r.task.StepID), job.Occurrences[r.task.Occurrence], p.wallMilli)
+	victim, ok := p.victims[r.task.StepID]
+	if !ok {
+		victim = s.newUrgency(s.newCandidate(job, p.state.Setup(), r.task.StepID), job.Occurrences[r.task.Occurrence], p.wallMilli)
+		p.victims[r.task.StepID] = victim
+	}
 
 	return plan.MayPreempt(&victim, &c.urgency, r.step.Checkpointing)
 }
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -341,10 +341,21 @@
 		return
 	}
 
+	asked := 0
+
 	for _, id := range request.Workers {
+		if !a.answeredFor[id] {
+			asked++
+		}
+
 		a.answeredFor[id] = true
 	}
 
+	// Workers that were asked about again are known to be allowed, so such an answer says nothing about the share.
+	if asked == len(request.Workers) {
+		s.allowedShares.Record(request.Queue, asked, len(reply.Tickets))
+	}
+
 	for _, t := range reply.Tickets {
 		a.tickets[t.Worker] = ticket{text: t.Text, validUntil: now.Add(reply.Validity - ticketMargin)}
 	}
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -27,7 +27,7 @@
 	planRestFactor = 3
 	// spacedPlanFactor is the same multiple for plans that are quick: they are made less often, so that more
 	// replies share one plan and one commit, but not less than each spacedPlanInterval.
-	spacedPlanFactor   = 8
+	spacedPlanFactor   = 16
 	spacedPlanInterval = 15 * time.Millisecond
 	// maxPlanInterval is the longest time between two plans: expired leases and retries are handled
 	// then.
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -32,6 +32,7 @@
 	waitingSinceFailure map[mill.TaskID]time.Time
 	estimates           plan.RunTimeEstimates
 	failureRates        plan.FailureRates
+	allowedShares       plan.AllowedShares
 	finished            []finishedRun
 	// orphans are runs that workers report and that the state does not know.
 	orphans map[mill.RunRef]orphan
@@ -52,6 +53,8 @@
 	// describedBuffer and eligibleBuffer are reused by eligibleWorkers.
 	describedBuffer []plan.CandidateWorker
 	eligibleBuffer  []*worker
+	// runningBuffer is reused by newReservation.
+	runningBuffer []plan.RunningTask
 	// waitingSteps counts the steps that had unplaced tasks after the last plan.
 	waitingSteps int
 }
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -1,6 +1,8 @@
 package lead
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cranberrymill/cranberrymill/internal/plan"
@@ -27,6 +29,8 @@
 	gone bool
 	// runs holds the runs that may be active on the worker or are being placed on it.
 	runs map[mill.TaskID]*run
+	// sortedRuns holds the runs by task; nil after one was added or removed.
+	sortedRuns []*run
 	// used is the capacity that these runs take.
 	used mill.Resources
 	// reserved is the capacity that the current plan reserves for steps that come first and have to
@@ -89,6 +93,7 @@
 
 func (w *worker) add(r *run) {
 	w.runs[r.task] = r
+	w.sortedRuns = nil
 	w.used = w.used.Add(r.reserves)
 
 	if r.step.BestEffort {
@@ -106,6 +111,7 @@
 	}
 
 	delete(w.runs, r.task)
+	w.sortedRuns = nil
 	w.used = w.used.Sub(r.reserves)
 
 	if r.step.BestEffort {
@@ -117,6 +123,15 @@
 	}
 }
 
+// runsByTask returns the worker's runs sorted by task. The caller must not modify the slice.
+func (w *worker) runsByTask() []*run {
+	if w.sortedRuns == nil {
+		w.sortedRuns = slices.SortedFunc(maps.Values(w.runs), func(a, b *run) int { return a.task.Compare(b.task) })
+	}
+
+	return w.sortedRuns
+}
+
 // usable reports whether the worker may be given new work.
 func (w *worker) usable(now time.Time) bool {
 	if w.gone || !w.leavingSince.IsZero() || w.lastHeard.IsZero() || w.status.Draining || !w.clock.known() {
--- a/pkg/mill/resources.go
+++ b/pkg/mill/resources.go
@@ -14,6 +14,23 @@
 		r.Accelerators <= free.Accelerators
 }
 
+// TimesIn returns how many times r fits into a capacity, or 0 if r is empty.
+func (r Resources) TimesIn(capacity Resources) int {
+	times := int64(0)
+
+	for _, dimension := range [][2]int64{
+		{r.MilliCores, capacity.MilliCores}, {r.MemoryMiB, capacity.MemoryMiB}, {r.Accelerators, capacity.Accelerators},
+	} {
+		if demand, whole := dimension[0], dimension[1]; demand > 0 && (times == 0 || whole/demand < times) {
+			if times = whole / demand; times == 0 {
+				return 0
+			}
+		}
+	}
+
+	return int(times)
+}
+
 // Add returns the sum of both amounts.
 func (r Resources) Add(other Resources) Resources {
 	return Resources{
--- a/pkg/mill/task_id.go
+++ b/pkg/mill/task_id.go
@@ -1,6 +1,7 @@
 package mill
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 
@@ -31,6 +32,16 @@
 	Index int `cbor:"4,keyasint,omitempty"`
 }
 
+// Compare orders the tasks of one job by occurrence, step and index, and those of different jobs by the jobs' ids.
+func (t TaskID) Compare(other TaskID) int {
+	return cmp.Or(
+		cmp.Compare(t.Job, other.Job),
+		cmp.Compare(t.Occurrence, other.Occurrence),
+		cmp.Compare(t.Step, other.Step),
+		cmp.Compare(t.Index, other.Index),
+	)
+}
+
 const taskIDParts = 4
 
 // ParseTaskID parses the form that String returns, or returns ErrInvalid.
