--- a/internal/lead/bench_test.go
+++ b/internal/lead/bench_test.go
@@ -159,7 +159,8 @@
 	}
 
 	for i := range waiting {
-		submit(fmt.Sprintf("gang%d", i), mill.Step{Count: 8, Gang: true, PerTask: mill.Resources{MilliCores: 31000, Accelerators: 8}})
+		perTask := mill.Resources{MilliCores: 31000, Accelerators: 8}
+		submit(fmt.Sprintf("gang%d", i), mill.Step{Count: 8, Gang: true, PerTask: perTask})
 	}
 
 	b.ReportAllocs()
--- a/internal/plan/advice_names.go
+++ b/internal/plan/advice_names.go
@@ -3,9 +3,10 @@
 import "math"
 
 const (
-	// MinAdviceNames and MaxAdviceNames bound the workers that one advice request names: the objective of a job
-	// allows for a request with the lower number, and the advisor takes no more than the higher one.
+	// MinAdviceNames is the least number of workers that a request names if there are as many: the objective of a
+	// job allows for the time of such a request.
 	MinAdviceNames = 30
+	// MaxAdviceNames is the most workers that the advisor takes in one request.
 	MaxAdviceNames = 100
 	// knownPerNeeded is how many workers should be known to be allowed for each one that a gang needs at once.
 	knownPerNeeded = 3
