--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,6 +22,7 @@
 	"github.com/cranberrymill/cranberrymill/internal/lead"
 	"github.com/cranberrymill/cranberrymill/internal/mail"
 	"github.com/cranberrymill/cranberrymill/internal/place"
+	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/raft"
 	"github.com/cranberrymill/cranberrymill/internal/relay"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
@@ -237,10 +238,19 @@
 
 	address, orders := c.config.Address, c.config.Orders
 	c.relayServer = relay.NewServer(ctx, address, c.client, orders, c.pool)
-	c.relaySender = relay.NewSender(ctx, address, c.client, orders, c.workers.dataCentre, c.config.Scope)
+	c.relaySender = relay.NewSender(ctx, address, c.client, orders, c.relayFor, c.config.Scope)
 	c.leaderClient.OfferRelay(c.config.DataCentre)
 }
 
+// relayFor returns the data centre whose relay passes orders on to a worker, or "" if the worker is called directly.
+func (c *Core) relayFor(worker string) string {
+	if !plan.RelayOrders(c.workers.len()) {
+		return ""
+	}
+
+	return c.workers.dataCentre(worker)
+}
+
 // orders returns the channel for orders in a term, which lasts as long as the context.
 func (c *Core) orders(ctx context.Context, term uint64) mill.WorkerOrders {
 	if c.relaySender == nil {
