--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -15,6 +15,8 @@
 	now       time.Time
 	wallMilli int64
 	state     *jobs.State
+	// findPools returns the pools by service; it is called once a step waits.
+	findPools func() map[string]*pool
 	pools     map[string]*pool
 	// idleAddresses are the addresses through which the advisor can be asked now.
 	idleAddresses []string
@@ -33,7 +35,7 @@
 		now:              now,
 		wallMilli:        wallMilli,
 		state:            state,
-		pools:            s.pools(now),
+		findPools:        func() map[string]*pool { return s.pools(now) },
 		idleAddresses:    addresses,
 		reservationsLeft: len(addresses) + extraReservations,
 		victims:          make(map[mill.StepID]plan.Urgency),
@@ -60,6 +62,10 @@
 
 // pool returns the workers for a step.
 func (p *pass) pool(c *candidate) *pool {
+	if p.pools == nil {
+		p.pools = p.findPools()
+	}
+
 	if found, ok := p.pools[c.queue.Service]; ok {
 		return found
 	}
