Tell an unreachable worker from a process without descriptors

Cause: found in the reading of the change. An order for which no connection could be opened counted the same whether the worker refused it or this process had no descriptor left, and after three attempts the worker was quarantined: a leader without descriptors would have quarantined sound workers one after another.

Now "unreachable" blames the worker, and "not sent" is tried again without counting. The fuzzer draws both. An order without a deadline is no longer kept as waiting for a relay. Names in relay and core were made clearer on the way.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -238,12 +238,12 @@
 
 	address, orders := c.config.Address, c.config.Orders
 	c.relayServer = relay.NewServer(ctx, address, c.client, orders, c.pool)
-	c.relaySender = relay.NewSender(ctx, address, c.client, orders, c.relayFor, c.config.Scope)
+	c.relaySender = relay.NewSender(ctx, address, c.client, orders, c.relayDataCentre, c.config.Scope)
 	c.leaderClient.OfferRelay(c.config.DataCentre)
 }
 
-// relayFor returns the data centre whose relay passes orders on to a worker, or "" if the worker is called directly.
-func (c *Core) relayFor(worker string) string {
+// relayDataCentre returns the data centre whose relay passes orders on to a worker, or "" if the worker is called directly.
+func (c *Core) relayDataCentre(worker string) string {
 	if !plan.RelayOrders(c.workers.len()) {
 		return ""
 	}
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -31,8 +31,11 @@
 		r.stopAcknowledged = true
 	case mill.OutcomeUnanswered, mill.OutcomeFenced:
 		s.retryStart(r, now)
+	case mill.OutcomeUnreachable:
+		s.retryUnreachable(r, now)
 	case mill.OutcomeNotSent:
-		s.retryUnsentStart(r, now)
+		r.startAttempts-- // It was no attempt, and says nothing about the worker.
+		r.nextStart = now.Add(retryDelay)
 	default:
 		s.startRefused(r, reply.Outcome, now)
 	}
@@ -61,13 +64,13 @@
 	}
 }
 
-// retryUnsentStart schedules a start order again that was not sent. If none of the run's start orders was
-// ever sent, the run has certainly not started, and after the last attempt its task can be placed elsewhere at
-// once.
-func (s *Scheduler) retryUnsentStart(r *run, now time.Time) {
-	r.unsentStarts++
+// retryUnreachable schedules a start order again for which the worker could not be connected to. If none of the run's
+// start orders was ever sent, the run has certainly not started, and after the last attempt its task can be placed
+// elsewhere at once.
+func (s *Scheduler) retryUnreachable(r *run, now time.Time) {
+	r.unreachableStarts++
 
-	if r.startAttempts < maxStartAttempts || r.unsentStarts < r.startAttempts {
+	if r.startAttempts < maxStartAttempts || r.unreachableStarts < r.startAttempts {
 		s.retryStart(r, now)
 
 		return
@@ -82,7 +85,7 @@
 func (s *Scheduler) startRefused(r *run, outcome mill.OrderOutcome, now time.Time) {
 	s.applyRefusal(r, outcome, now)
 
-	if r.startAttempts-r.unsentStarts > 1 {
+	if r.startAttempts-r.unreachableStarts > 1 {
 		s.markDoubtful(r, now)
 
 		return
@@ -118,8 +121,10 @@
 
 // StopAnswered records a worker's reply to a stop order.
 func (s *Scheduler) StopAnswered(stop *Stop, reply mill.OrderReply, now time.Time) {
-	if reply.Outcome == mill.OutcomeUnanswered || reply.Outcome == mill.OutcomeNotSent {
+	switch reply.Outcome {
+	case mill.OutcomeUnanswered, mill.OutcomeUnreachable, mill.OutcomeNotSent:
 		return
+	default:
 	}
 
 	if s.removeOrphan(stop) {
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -39,10 +39,10 @@
 	resumeFrom    string
 	ticket        string
 	startAttempts int
-	// unsentStarts is how many of these attempts sent nothing to the worker.
-	unsentStarts  int
-	startInFlight bool
-	nextStart     time.Time
+	// unreachableStarts is how many of these attempts could not connect to the worker, and sent nothing.
+	unreachableStarts int
+	startInFlight     bool
+	nextStart         time.Time
 	// updatedAt is when the scheduler last observed or decided something about the run on its
 	// worker. If a report that was requested later does not list the run, the worker does not have
 	// it.
--- a/internal/lead/transport_test.go
+++ b/internal/lead/transport_test.go
@@ -19,6 +19,8 @@
 	switch {
 	case sim.chance("unsent order", sim.faults.unsent):
 		sim.after(delay, func() { answer(mill.OutcomeNotSent) })
+	case sim.chance("unreachable", sim.faults.unsent):
+		sim.after(delay, func() { answer(mill.OutcomeUnreachable) })
 	case sim.chance("lost order", sim.faults.lostOrder):
 		sim.after(defaultOrderTimeout, func() { answer(mill.OutcomeUnanswered) })
 	case sim.chance("late", sim.faults.late):
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -212,13 +212,15 @@
 // worker is to be called directly, since no relay is usable or the one that was used has not passed the order on.
 func (s *Sender) send(ctx context.Context, to mill.WorkerRef, order *Order) (Reply, bool) {
 	now := time.Now()
-	deadline, bounded := ctx.Deadline()
-	address, lost, waiting := s.register(to.ID, order, now)
 
-	if address == "" || !bounded {
-		s.unrelayed.Inc(1)
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return s.notRelayed()
+	}
 
-		return Reply{}, false
+	address, lost, waiting := s.register(to.ID, order, now)
+	if address == "" {
+		return s.notRelayed()
 	}
 
 	defer s.unregister(order.Number)
@@ -228,9 +230,7 @@
 	order.Worker, order.Address = to.ID, to.Address
 
 	if !s.outbox.Send(address, *order) {
-		s.unrelayed.Inc(1)
-
-		return Reply{}, false
+		return s.notRelayed()
 	}
 
 	select {
@@ -245,6 +245,13 @@
 	}
 }
 
+// notRelayed counts an order for which the worker is to be called directly.
+func (s *Sender) notRelayed() (Reply, bool) {
+	s.unrelayed.Inc(1)
+
+	return Reply{}, false
+}
+
 // register chooses a relay for a worker's order and registers the order as waiting for its reply. The
 // address is "" if there is no usable relay.
 func (s *Sender) register(
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -17,12 +17,6 @@
 // one that was held up is not carried out after its sender has given up on it.
 const maxAge = 300 * time.Millisecond
 
-// master is a process whose orders are passed on.
-type master struct {
-	term    uint64
-	address string
-}
-
 // Server passes orders on to workers.
 type Server struct {
 	self    string
@@ -30,8 +24,8 @@
 	pool    *ants.Pool
 	outbox  *drive.Outbox[Reply]
 	ctx     context.Context
-	// master is the sender of the latest term that has sent a ping; nil before the first.
-	master atomic.Pointer[master]
+	// leader is the process of the latest term that has sent a ping; nil before the first.
+	leader atomic.Pointer[leader]
 }
 
 // NewServer returns a server for the process at the address self, which calls workers on the goroutine pool. All
@@ -67,7 +61,7 @@
 		return
 	}
 
-	current := s.master.Load()
+	current := s.leader.Load()
 
 	// An order that is ahead of its sender's first ping cannot be answered, and that of an earlier term must
 	// not be carried out: its sender may have been paused since before the term ended.
@@ -96,19 +90,19 @@
 
 func (s *Server) answerPing(order *Order, nowMilli int64) {
 	for {
-		current := s.master.Load()
-		if current != nil && (order.Term < current.term || *current == (master{term: order.Term, address: order.From})) {
+		current := s.leader.Load()
+		if current != nil && (order.Term < current.term || *current == (leader{term: order.Term, address: order.From})) {
 			break
 		}
 
-		if s.master.CompareAndSwap(current, &master{term: order.Term, address: order.From}) {
+		if s.leader.CompareAndSwap(current, &leader{term: order.Term, address: order.From}) {
 			log.Info().Uint64("term", order.Term).Str("leader", order.From).Msg("relaying orders for a leader")
 
 			break
 		}
 	}
 
-	if order.Term == s.master.Load().term {
+	if order.Term == s.leader.Load().term {
 		s.outbox.Send(order.From, Reply{Relay: s.self, RelayMilli: nowMilli})
 	}
 }
--- a/pkg/mill/orders.go
+++ b/pkg/mill/orders.go
@@ -57,12 +57,16 @@
 	OutcomeWorkerReplaced
 	// OutcomeInvalid means that the worker could not read the order.
 	OutcomeInvalid
-	// OutcomeNotSent means that nothing of the order was sent to the worker, and nothing of it will be.
+	// OutcomeUnreachable means that the worker could not be connected to, so nothing of the order was sent to it, and
+	// nothing of it will be.
+	OutcomeUnreachable
+	// OutcomeNotSent means the same, but for a reason that says nothing about the worker.
 	OutcomeNotSent
 )
 
 var orderOutcomeNames = [...]string{
-	"unanswered", "accepted", "fenced", "ended", "late", "noRoom", "noTicket", "unhealthy", "gone", "invalid", "notSent",
+	"unanswered", "accepted", "fenced", "ended", "late", "noRoom", "noTicket", "unhealthy", "gone", "invalid",
+	"unreachable", "notSent",
 }
 
 // String returns the outcome's name in logs.
