--- a/GNUmakefile
+++ b/GNUmakefile
@@ -20,7 +20,7 @@
 
 .PHONY: lint
 lint: $(BUILD)/golangci-lint $(BUILD)/gofumpt ## Check the formatting and run the linter.
-	test -z "$$($(BUILD)/gofumpt -l . | tee /dev/stderr)"
+	test -z "$$($(BUILD)/gofumpt -l . | tee -a /dev/stderr)"
 	$(BUILD)/golangci-lint run
 
 .PHONY: demo
