Tell a run whose worker crashed from one whose lease expired

The end of a run was logged as "lapsed" both when its worker could not be reached and when the worker had crashed under it, so the logs could not say whether a task crashes its workers. A worker that restarts under the same id, or at whose address another one answers, has ended; unless it had announced that or its machine is in maintenance, its started runs now end as "crashed", also in runs_ended{cause}.

Nothing else changes: the state treats the new cause like an expired lease.

--- a/internal/lead/metrics.go
+++ b/internal/lead/metrics.go
@@ -37,7 +37,7 @@
 	}
 
 	for _, cause := range []mill.FinishCause{
-		mill.FinishDone, mill.FinishFailed, mill.FinishStopped, mill.FinishLeaseExpired,
+		mill.FinishDone, mill.FinishFailed, mill.FinishStopped, mill.FinishLeaseExpired, mill.FinishWorkerCrashed,
 		mill.FinishGangMemberLost, mill.FinishGangTimeout, mill.FinishNotStarted,
 	} {
 		m.finished[cause] = scope.Tagged(map[string]string{"cause": string(cause)}).Counter("runs_ended")
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -24,7 +24,7 @@
 	case mill.OutcomeAccepted:
 		s.markStarted(r, now)
 	case mill.OutcomeWorkerReplaced:
-		r.worker.gone = true
+		s.workerReplaced(r.worker)
 	case mill.OutcomeFinished:
 		// The worker refuses to start the run again; its next report shows whether the run finished.
 		s.markDoubtful(r, now)
@@ -140,7 +140,7 @@
 
 	switch reply.Outcome {
 	case mill.OutcomeWorkerReplaced:
-		r.worker.gone = true
+		s.workerReplaced(r.worker)
 	case mill.OutcomeFenced:
 	default:
 		r.worker.clock.observe(reply.ClockMilli, now)
@@ -179,7 +179,7 @@
 	switch reply.Outcome {
 	case mill.OutcomeAccepted:
 	case mill.OutcomeWorkerReplaced:
-		w.gone = true
+		s.workerReplaced(w)
 
 		return
 	default:
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -57,6 +57,8 @@
 	// percent is the run's reported progress, and progressAt when that last changed.
 	percent    float64
 	progressAt time.Time
+	// workerCrashed says that the worker has crashed since the run started on it.
+	workerCrashed bool
 	// cause is why the run has finished; "" while it may be active.
 	cause mill.FinishCause
 	// tailMilli is the latest reported tail latency of a serving task.
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -199,6 +199,8 @@
 // An order may already have reached the new incarnation, with a lease end that was computed on the
 // old incarnation's clock, so the lease is assumed to last for the longest time any lease can.
 func (s *Scheduler) workerRestarted(w *worker, clockMilli int64, now time.Time) {
+	s.recordCrash(w)
+
 	w.restarts++
 	w.clock = clock{}
 	w.leaseEndMilli = clockMilli + s.bounds.MaxLease.Milliseconds()
@@ -331,6 +333,10 @@
 		return
 	}
 
+	if r.workerCrashed && (cause == mill.FinishLeaseExpired || cause == mill.FinishNotStarted) {
+		cause = mill.FinishWorkerCrashed
+	}
+
 	r.cause = cause
 	r.worker.remove(r)
 	r.worker.uncommittedFinishes++
--- a/pkg/mill/orders.go
+++ b/pkg/mill/orders.go
@@ -95,6 +95,8 @@
 	FinishStopped FinishCause = "stopped"
 	// FinishLeaseExpired means that the run's lease expired or its worker terminated.
 	FinishLeaseExpired FinishCause = "lapsed"
+	// FinishWorkerCrashed means that the run's worker ended without notice while the run was active.
+	FinishWorkerCrashed FinishCause = "crashed"
 	// FinishGangMemberLost means that another member of the run's gang was lost.
 	FinishGangMemberLost FinishCause = "broken"
 	// FinishGangTimeout means that the run timed out waiting for the other members of its gang.
