Give up a job whose task goes on to crash its workers

Cause: the end of a run by a crash counted as no attempt, like an expired lease, so nothing limited such runs; and nothing told the task that crashes its workers from those that happen to run beside it.

Fix: a run that has started and has not been listed 200 ms later is a suspect when its worker crashes. The suspicion is part of the replicated state, so a change of leader does not reset it: 2 for a sole suspect, 1 where there are several, 3 give the job up. A suspected task runs on a worker that has no other unproven run and takes no new ones until the task is proven, for up to a quarter of the workers and 1.2 s of waiting, so that the second crash is proof and costs the least. A run that is seen at work clears its task. Only certain evidence counts: the start was accepted, and the worker's process is known to have been replaced; a run that the new process lists was never lost. Runs that a new leader inherited are not suspected, so a change of leader may hide one crash.

--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -51,6 +51,10 @@
 	Run        int              `cbor:"2,keyasint"`
 	Cause      mill.FinishCause `cbor:"3,keyasint"`
 	Checkpoint string           `cbor:"4,keyasint,omitempty"`
+	// Suspicion is how strongly the run is suspected of having crashed its worker. Cleared means that the run was seen
+	// at work, so that the earlier suspicion of its task was wrong.
+	Suspicion int  `cbor:"5,keyasint,omitempty"`
+	Cleared   bool `cbor:"6,keyasint,omitempty"`
 }
 
 // SettleMachine marks one machine of a wave as settled.
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -32,6 +32,8 @@
 	Failures int `cbor:"5,keyasint,omitempty"`
 	// FailedOn lists the workers to avoid because runs of the task failed there.
 	FailedOn []string `cbor:"6,keyasint,omitempty"`
+	// Suspicion is how strongly the task is suspected of crashing the workers that start it.
+	Suspicion int `cbor:"7,keyasint,omitempty"`
 }
 
 // finish makes the task pending again if the finished run is its current one, and reports whether it is.
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -244,6 +245,8 @@
 	default:
 	}
 
+	s.updateSuspicion(job, finished, task)
+
 	if job.Finished() && job.Placed == 0 {
 		s.closeJob(job)
 	}
@@ -319,6 +322,20 @@
 	}
 }
 
+// updateSuspicion records whether a finished run is suspected of having crashed its worker, and gives up a job with a
+// task that goes on to crash its workers.
+func (s *State) updateSuspicion(job *Job, finished *Finish, task *Task) {
+	if finished.Cleared {
+		task.Suspicion = 0
+	}
+
+	task.Suspicion += finished.Suspicion
+
+	if !job.Finished() && plan.GivesUp(task.Suspicion) {
+		s.finishJob(job, mill.JobFailed)
+	}
+}
+
 // failedAttempts returns the number of failed runs of a task, or of all members of its gang.
 func (j *Job) failedAttempts(id mill.TaskID) int {
 	step, task := j.Task(id)
--- a/internal/jobs/state_test.go
+++ b/internal/jobs/state_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/seeds"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -32,6 +33,17 @@
 	active   bool
 	done     bool
 	failures int
+	// sharedCrashes and soleCrashes count the crashes that the task is suspected of, since it was cleared.
+	sharedCrashes int
+	soleCrashes   int
+}
+
+// givenUp reports whether the task has crashed its workers too often: three times, or twice with one crash that no other
+// task can have caused.
+func (r *taskRecord) givenUp() bool {
+	crashes := r.sharedCrashes + r.soleCrashes
+
+	return crashes >= 3 || crashes == 2 && r.soleCrashes > 0
 }
 
 // oracle is an independent model of the state, which predicts the result of every command.
@@ -173,9 +185,17 @@
 	record := o.record(id)
 	run := max(0, record.run-rapid.IntRange(0, 1).Draw(t, "behind"))
 	cause := rapid.SampledFrom([]mill.FinishCause{
-		mill.FinishDone, mill.FinishDone, mill.FinishFailed, mill.FinishStopped, mill.FinishNotStarted,
+		mill.FinishDone, mill.FinishDone, mill.FinishFailed, mill.FinishStopped, mill.FinishNotStarted, mill.FinishWorkerCrashed,
 	}).Draw(t, "cause")
-	result := o.state.Apply(&Command{Finish: &Finish{Task: id, Run: run, Cause: cause}})
+	finish := &Finish{Task: id, Run: run, Cause: cause, Cleared: rapid.IntRange(0, 3).Draw(t, "cleared") == 0}
+	suspects := 0
+
+	if cause == mill.FinishWorkerCrashed && !finish.Cleared {
+		suspects = rapid.IntRange(1, 3).Draw(t, "suspects")
+		finish.Suspicion = plan.CrashSuspicion(suspects)
+	}
+
+	result := o.state.Apply(&Command{Finish: finish})
 
 	if !record.active || run != record.run {
 		assert.Equal(t, result, ResultObsolete)
@@ -195,6 +215,27 @@
 		o.failed(id)
 	default:
 	}
+
+	o.crashed(id, finish.Cleared, suspects)
+}
+
+// crashed records the outcome of a run for what its task is suspected of.
+func (o *oracle) crashed(id mill.TaskID, cleared bool, suspects int) {
+	record := o.record(id)
+
+	switch {
+	case cleared:
+		record.sharedCrashes, record.soleCrashes = 0, 0
+	case suspects == 1:
+		record.soleCrashes++
+	case suspects > 1:
+		record.sharedCrashes++
+	default:
+	}
+
+	if o.outcome[id.Job] == "" && record.givenUp() {
+		o.outcome[id.Job] = mill.JobFailed
+	}
 }
 
 func (o *oracle) done(id mill.TaskID, run int) {
--- a/internal/lead/backlog.go
+++ b/internal/lead/backlog.go
@@ -52,7 +52,7 @@
 			if c.waiting = s.waitingTasks(c); len(c.waiting) > 0 {
 				c.urgency = s.newUrgency(c, occurrence, wallMilli)
 				c.advice = s.adviceFor(c)
-				found = append(found, c)
+				found = append(found, c.splitSuspected()...)
 			}
 		}
 	}
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -49,6 +49,10 @@
 	// adviceWanted names the workers with capacity for the step that the advisor should be asked
 	// about.
 	adviceWanted []string
+	// suspected says that the tasks are suspected of crashing their workers, and isolated that they go to workers that
+	// take no other new runs.
+	suspected bool
+	isolated  bool
 }
 
 func countWaiting(candidates []*candidate) int {
@@ -82,6 +86,7 @@
 		PreferredRack:   c.step.DataRack,
 		SameRack:        c.step.SameRack,
 		SpeedPreference: c.urgency.SpeedPreference(),
+		PreferIdle:      c.suspected,
 	}
 }
 
@@ -117,7 +122,7 @@
 	perTask := c.step.Reserves()
 
 	for _, w := range workers {
-		if perTask.Fits(w.unreserved()) && c.compatible(w) && (filter == nil || filter(w)) {
+		if w.isolatingRuns == 0 && perTask.Fits(w.unreserved()) && c.compatible(w) && (filter == nil || filter(w)) {
 			described = append(described, c.describe(w))
 			eligible = append(eligible, w)
 		}
--- a/internal/lead/events.go
+++ b/internal/lead/events.go
@@ -16,6 +16,8 @@
 	EventPace EventKind = "pace changed"
 	// EventPreempt is a run that is stopped for the step named in the detail.
 	EventPreempt EventKind = "run preempted"
+	// EventSuspect is a run that is suspected of having crashed its worker.
+	EventSuspect EventKind = "run suspected of a crash"
 )
 
 // maxEvents bounds the events that wait to be logged; further ones are dropped.
--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -17,6 +17,7 @@
 	simGangTimeout = 3 * time.Second
 	simValidity    = 2 * time.Second
 	simDecideTime  = 100 * time.Millisecond
+	simCrashTime   = 3 * time.Second
 )
 
 // execution is one run on an executor.
@@ -37,6 +38,9 @@
 type executor struct {
 	sim          *simulation
 	id           string
+	address      string
+	lives        int
+	crashedAt    time.Time
 	startedAt    time.Time
 	drift        float64
 	capacity     mill.Resources
@@ -78,7 +82,7 @@
 		ID:             e.id,
 		StartUnixMilli: e.startedAt.UnixMilli(),
 		Service:        "pool",
-		Address:        e.id,
+		Address:        e.address,
 		Rack:           e.rack,
 		Labels:         []string{"a", e.rack},
 		Capacity:       e.capacity,
@@ -168,6 +172,45 @@
 	e.running[order.Task] = a
 
 	e.sim.checkCapacity(e, order.Task)
+
+	if e.sim.crashingTasks[order.Task] {
+		e.sim.after(simStep, func() {
+			if e.running[order.Task] == a {
+				e.crashUnder(order.Task)
+			}
+		})
+	}
+}
+
+// crash ends the executor without notice.
+func (e *executor) crash() {
+	for task := range e.running {
+		e.sim.losses[task]++
+	}
+
+	e.up = false
+	e.crashedAt = e.sim.now
+	e.running = make(map[mill.TaskID]*execution)
+}
+
+// crashUnder crashes the executor because of a task. It is back after some seconds, half of the times under a new id.
+func (e *executor) crashUnder(task mill.TaskID) {
+	e.sim.crashes[task]++
+	e.crash()
+
+	e.sim.after(simCrashTime, func() {
+		if e.up {
+			return
+		}
+
+		if e.sim.flip("new id") {
+			e.lives++
+			e.id = fmt.Sprintf("%s-%d", e.address, e.lives)
+		}
+
+		e.up = true
+		e.restart()
+	})
 }
 
 func (e *executor) stop(run mill.RunRef, fence uint64) mill.OrderReply {
--- a/internal/lead/fuzz_test.go
+++ b/internal/lead/fuzz_test.go
@@ -120,9 +120,7 @@
 }
 
 func (d *actionDrawer) crash(t *rapid.T) {
-	e := d.executor(t)
-	e.up = false
-	e.running = make(map[mill.TaskID]*execution)
+	d.executor(t).crash()
 }
 
 func (d *actionDrawer) recover(t *rapid.T) {
@@ -144,7 +142,7 @@
 		return
 	}
 
-	e.up = false
+	e.crash()
 	d.sim.after(2*minRestartTime, func() {
 		if !e.up {
 			e.up = true
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -46,9 +46,57 @@
 		sim.t.Fatalf("%s: task %s starts after %d failures", sim.elapsed(), order.Task, sim.failures[order.Task])
 	}
 
+	sim.checkCrashes(order.Task)
 	sim.checkEarlierSteps(order, job)
 }
 
+// maxStartsAfterCrashes is how many more starts of a task that has crashed simMaxCrashes executors break the rules.
+const (
+	simMaxCrashes         = 3
+	maxStartsAfterCrashes = 3
+)
+
+// checkCrashes checks that a task is not started again and again though it crashes its executors.
+func (sim *simulation) checkCrashes(task mill.TaskID) {
+	if sim.crashes[task] < simMaxCrashes {
+		return
+	}
+
+	sim.startsAfterCrashes[task]++
+
+	if sim.startsAfterCrashes[task] >= maxStartsAfterCrashes {
+		sim.t.Fatalf("%s: task %s starts once more after it has crashed %d executors", sim.elapsed(), task, sim.crashes[task])
+	}
+}
+
+// checkFailed checks that a failed job has a task that has used up its attempts, or under which two executors have
+// crashed.
+func (sim *simulation) checkFailed(id string, spec *jobSpec) {
+	for index := range spec.work.Steps {
+		step := &spec.work.Steps[index]
+		failures := 0
+
+		for at := range step.Count {
+			task := mill.StepID{Job: id, Step: index}.Task(at)
+			if sim.losses[task] > 1 {
+				return
+			}
+
+			if !step.Gang {
+				failures = 0
+			}
+
+			failures += sim.failures[task]
+
+			if failures >= sim.queue(id).MaxAttempts {
+				return
+			}
+		}
+	}
+
+	sim.t.Fatalf("%s: job %s has failed without cause", sim.elapsed(), id)
+}
+
 // checkEarlierSteps checks that the steps before a task's step are completed.
 func (sim *simulation) checkEarlierSteps(order *mill.StartOrder, job *jobSpec) {
 	for _, before := range job.work.Steps[order.Task.Step].After {
@@ -189,6 +237,10 @@
 		sim.t.Fatalf("the job %s is lost", id)
 	}
 
+	if job.Outcome == mill.JobFailed {
+		sim.checkFailed(id, spec)
+	}
+
 	if job.Finished() {
 		if job.Placed > 0 {
 			sim.t.Fatalf("%s: job %s is %s but has %d runs: %+v\n%s", sim.elapsed(), id, job.Outcome, job.Placed,
@@ -278,8 +330,32 @@
 			sim.t.Fatalf("%s: the sorted runs of %s are out of date", sim.elapsed(), w.status.ID)
 		}
 
+		sim.checkUnproven(w)
+
 		if w.recordCurrent && (w.recorded == nil || !w.recorded.SameStableFields(&w.status)) {
 			sim.t.Fatalf("%s: the record of %s is out of date", sim.elapsed(), w.status.ID)
 		}
 	}
 }
+
+// checkUnproven compares the counts of unproven runs with the runs.
+func (sim *simulation) checkUnproven(w *worker) {
+	unproven, isolating := 0, 0
+
+	for _, r := range w.runs {
+		if r.proven {
+			continue
+		}
+
+		unproven++
+
+		if r.isolating {
+			isolating++
+		}
+	}
+
+	if w.unprovenRuns != unproven || w.isolatingRuns != isolating {
+		sim.t.Fatalf("%s: %s counts %d unproven and %d isolating runs instead of %d and %d", sim.elapsed(), w.status.ID,
+			w.unprovenRuns, w.isolatingRuns, unproven, isolating)
+	}
+}
--- a/internal/lead/maintenance_test.go
+++ b/internal/lead/maintenance_test.go
@@ -79,7 +79,7 @@
 	old.up = false
 
 	p.sim.after(simMaintenanceTime, func() {
-		e := &executor{sim: p.sim, id: old.id + "b", capacity: old.capacity, rack: old.rack, up: true}
+		e := &executor{sim: p.sim, id: old.id + "b", address: old.id + "b", capacity: old.capacity, rack: old.rack, up: true}
 		e.restart()
 		p.sim.executors = append(p.sim.executors, e)
 		p.workers[machine] = e
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -159,6 +159,10 @@
 		order.Wait = min(maxReportWait, s.bounds.Lease()/3)
 	}
 
+	if w.isolatingRuns > 0 {
+		order.Wait = min(order.Wait, crashTime)
+	}
+
 	if w.mixesBestEffort() {
 		order.Wait = min(order.Wait, sharedReportWait)
 	}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -49,7 +49,7 @@
 
 // placeStep places as many of a step's waiting tasks as fit, or a gang's only all together.
 func (s *Scheduler) placeStep(c *candidate, p *pass) []jobs.Command {
-	described, workers := s.eligibleWorkers(c, s.ticketHolders(c, p), nil)
+	described, workers := s.eligibleWorkers(c, s.ticketHolders(c, p), s.isolate(c, p))
 	chosen := plan.PlaceTasks(described, c.demand(), len(c.waiting), s.placer,
 		s.avoidFailedWorkers(c, p.pool(c).workers, p.now))
 	if c.step.Gang && len(chosen) < len(c.waiting) {
@@ -61,6 +61,10 @@
 	number := s.nextGangRun(c)
 	commands := make([]jobs.Command, 0, len(chosen))
 
+	if c.isolated && len(chosen) > 0 {
+		p.pool(c).isolatingWorkers++
+	}
+
 	for index, at := range chosen {
 		r := s.newRun(c, placed[index], workers[at], number)
 		p.pool(c).allocate(c.step.Reserves())
@@ -183,6 +187,9 @@
 		resumeFrom: task.Checkpoint,
 
 		failedBefore: task.Failures > 0,
+		isolating:    c.isolated,
+
+		earlierSuspicion: task.Suspicion,
 	}
 
 	if c.step.Gang {
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -55,6 +55,8 @@
 	capacity mill.Resources
 	// reservedWorkers counts the workers that this pass reserves for large tasks.
 	reservedWorkers int
+	// isolatingWorkers counts the workers with a suspected task that take no other new runs.
+	isolatingWorkers int
 }
 
 // emptyPool is the pool of a service without workers.
@@ -88,6 +90,10 @@
 	p.minCapacity.MemoryMiB = min(p.minCapacity.MemoryMiB, capacity.MemoryMiB)
 	p.minCapacity.Accelerators = min(p.minCapacity.Accelerators, capacity.Accelerators)
 
+	if w.isolatingRuns > 0 {
+		p.isolatingWorkers++
+	}
+
 	p.free = p.free.Add(free)
 	p.capacity = p.capacity.Add(capacity)
 	p.workers = append(p.workers, w)
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -257,6 +257,8 @@
 
 		listed[status.Task] = true
 
+		r.clearCrash()
+
 		if r.phase == runInherited || r.phase == runStarting {
 			s.markStarted(r, now)
 		}
@@ -285,6 +287,8 @@
 		r.checkpoint = status.Checkpoint
 	}
 
+	s.proveRun(r, now)
+
 	r.tailMilli = status.Gauge
 
 	if r.slowedPercent > 0 || status.Percent != r.percent || r.step.LongRunning && status.Percent >= fullPercent {
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -57,8 +57,17 @@
 	// percent is the run's reported progress, and progressAt when that last changed.
 	percent    float64
 	progressAt time.Time
-	// workerCrashed says that the worker has crashed since the run started on it.
+	// earlierSuspicion is how strongly earlier runs of the task are suspected of having crashed their workers. isolating
+	// says that the worker takes no other new run until this one is proven.
+	earlierSuspicion int
+	isolating        bool
+	// proven says that the worker has listed the run for long enough that starting it has not crashed the worker.
+	proven bool
+	// workerCrashed says that the worker seems to have crashed since the run started on it. suspects is the number of
+	// runs that may have caused that if this is one of them, and suspicion how strongly it is suspected in the end.
 	workerCrashed bool
+	suspects      int
+	suspicion     int
 	// cause is why the run has finished; "" while it may be active.
 	cause mill.FinishCause
 	// tailMilli is the latest reported tail latency of a serving task.
@@ -70,6 +79,11 @@
 	failedBefore bool
 }
 
+// mayHaveCrashedWorker reports whether the run has started and may be why its worker has crashed.
+func (r *run) mayHaveCrashedWorker() bool {
+	return !r.startedAt.IsZero() && !r.proven
+}
+
 func (r *run) ref() mill.RunRef {
 	return mill.RunRef{Task: r.task, Run: r.number}
 }
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -141,6 +141,8 @@
 		reserves:   step.Reserves(),
 		phase:      runInherited,
 		checkpoint: task.Checkpoint,
+
+		earlierSuspicion: task.Suspicion,
 	}
 	s.runs[id] = r
 	r.worker.mayHoldInherited = true
@@ -333,10 +335,7 @@
 		return
 	}
 
-	if r.workerCrashed && (cause == mill.FinishLeaseExpired || cause == mill.FinishNotStarted) {
-		cause = mill.FinishWorkerCrashed
-	}
-
+	cause = s.concludeCrash(r, cause)
 	r.cause = cause
 	r.worker.remove(r)
 	r.worker.uncommittedFinishes++
@@ -360,6 +359,8 @@
 			Run:        f.run.number,
 			Cause:      f.cause,
 			Checkpoint: f.run.checkpoint,
+			Suspicion:  f.run.suspicion,
+			Cleared:    f.run.earlierSuspicion > 0 && f.run.proven,
 		}})
 	}
 
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -82,6 +82,12 @@
 	// completedTasks holds the tasks whose completion is committed.
 	completedTasks map[mill.TaskID]bool
 	failures       map[mill.TaskID]int
+	// crashingTasks crash each executor that starts them; crashes counts that, and startsAfterCrashes the starts after
+	// the third time. losses counts for every task the crashes of executors that ran it.
+	crashingTasks      map[mill.TaskID]bool
+	crashes            map[mill.TaskID]int
+	startsAfterCrashes map[mill.TaskID]int
+	losses             map[mill.TaskID]int
 	// failingJobs holds the jobs whose tasks always fail.
 	failingJobs map[string]bool
 	// faultless says that the test injects no faults.
@@ -106,6 +112,10 @@
 		specs:               make(map[string]*jobSpec),
 		completedTasks:      make(map[mill.TaskID]bool),
 		failures:            make(map[mill.TaskID]int),
+		crashingTasks:       make(map[mill.TaskID]bool),
+		crashes:             make(map[mill.TaskID]int),
+		startsAfterCrashes:  make(map[mill.TaskID]int),
+		losses:              make(map[mill.TaskID]int),
 		failingJobs:         make(map[string]bool),
 		adviceRequestsByJob: make(map[string]int),
 		faultless:           true,
@@ -149,6 +159,7 @@
 		rack:     fmt.Sprintf("r%d", index/2),
 		up:       true,
 	}
+	e.address = e.id
 	e.restart()
 	sim.executors = append(sim.executors, e)
 	sim.sendReports(e)
@@ -384,6 +395,17 @@
 	return nil
 }
 
+// findAt returns the executor at an address.
+func (sim *simulation) findAt(address string) *executor {
+	for _, e := range sim.executors {
+		if e.address == address {
+			return e
+		}
+	}
+
+	return nil
+}
+
 func (sim *simulation) submit(id, queue string, duration time.Duration, steps ...mill.Step) {
 	work := mill.Workload{Spec: id, Steps: steps}
 	for i := range work.Steps {
--- a/internal/lead/transport_test.go
+++ b/internal/lead/transport_test.go
@@ -11,8 +11,10 @@
 
 // deliver delivers an order to an executor and its reply to the leader, subject to the simulated
 // faults.
-func (sim *simulation) deliver(id string, carryOut func(e *executor, late bool), answer func(outcome mill.OrderOutcome)) {
-	e := sim.find(id)
+func (sim *simulation) deliver(
+	to mill.WorkerRef, carryOut func(e *executor, late bool), answer func(outcome mill.OrderOutcome),
+) {
+	e := sim.findAt(to.Address)
 	incarnation := e.startedAt
 	delay := time.Duration(1+sim.choices%15) * time.Millisecond
 
@@ -32,7 +34,7 @@
 			}
 		})
 	case sim.chance("lost answer", sim.faults.lostAnswer):
-		sim.after(delay, func() { sim.deliverIfReachable(e, func() { carryOut(e, false) }) })
+		sim.after(delay, func() { sim.deliverIfReachable(e, to.ID, func() { carryOut(e, false) }) })
 		sim.after(defaultOrderTimeout, func() { answer(mill.OutcomeUnanswered) })
 	default:
 		sim.after(delay, func() {
@@ -42,6 +44,12 @@
 				return
 			}
 
+			if e.id != to.ID {
+				sim.after(delay, func() { answer(mill.OutcomeWorkerReplaced) })
+
+				return
+			}
+
 			carryOut(e, false)
 			sim.after(delay, func() {
 				if e.disconnected {
@@ -54,8 +62,8 @@
 	}
 }
 
-func (sim *simulation) deliverIfReachable(e *executor, do func()) {
-	if e.up && !e.disconnected {
+func (sim *simulation) deliverIfReachable(e *executor, id string, do func()) {
+	if e.up && !e.disconnected && e.id == id {
 		do()
 	}
 }
@@ -65,7 +73,7 @@
 
 	carryOut := func(e *executor, late bool) { reply = e.start(&start.Order, late) }
 
-	sim.deliver(start.To.ID, carryOut, func(outcome mill.OrderOutcome) {
+	sim.deliver(start.To, carryOut, func(outcome mill.OrderOutcome) {
 		if outcome != mill.OutcomeAccepted {
 			reply = mill.OrderReply{Outcome: outcome}
 		}
@@ -79,7 +87,7 @@
 
 	carryOut := func(e *executor, _ bool) { reply = e.stop(stop.Run, stop.FencingToken) }
 
-	sim.deliver(stop.To.ID, carryOut, func(outcome mill.OrderOutcome) {
+	sim.deliver(stop.To, carryOut, func(outcome mill.OrderOutcome) {
 		if outcome != mill.OutcomeAccepted {
 			reply = mill.OrderReply{Outcome: outcome}
 		}
@@ -91,7 +99,7 @@
 func (sim *simulation) sendPace(l *leader, pace *Pace) {
 	var reply mill.OrderReply
 
-	sim.deliver(pace.To.ID, func(e *executor, _ bool) { reply = e.pace(&pace.Order) }, func(outcome mill.OrderOutcome) {
+	sim.deliver(pace.To, func(e *executor, _ bool) { reply = e.pace(&pace.Order) }, func(outcome mill.OrderOutcome) {
 		if outcome != mill.OutcomeAccepted {
 			reply = mill.OrderReply{Outcome: outcome}
 		}
@@ -105,7 +113,7 @@
 
 	sentAt := sim.now
 
-	sim.deliver(renew.To.ID, func(e *executor, _ bool) { reply = e.renew(&renew.Order) }, func(outcome mill.OrderOutcome) {
+	sim.deliver(renew.To, func(e *executor, _ bool) { reply = e.renew(&renew.Order) }, func(outcome mill.OrderOutcome) {
 		if outcome != mill.OutcomeAccepted {
 			reply = mill.RenewReply{OrderReply: mill.OrderReply{Outcome: outcome}}
 		}
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -41,6 +41,10 @@
 	bestEffortMilliCores int64
 	// servingRuns counts the runs with a target for their tail latency.
 	servingRuns int
+	// unprovenRuns counts the runs that may yet crash the worker, and isolatingRuns those for whose sake it takes no
+	// others.
+	unprovenRuns  int
+	isolatingRuns int
 	// freshReport says that a report has arrived since paces were last adjusted.
 	freshReport bool
 	clock       clock
@@ -103,6 +107,8 @@
 	if r.hasTailTarget() {
 		w.servingRuns++
 	}
+
+	w.countUnproven(r, 1)
 }
 
 func (w *worker) remove(r *run) {
@@ -121,6 +127,21 @@
 	if r.hasTailTarget() {
 		w.servingRuns--
 	}
+
+	w.countUnproven(r, -1)
+}
+
+// countUnproven adds a run to the counts of unproven runs, or subtracts it.
+func (w *worker) countUnproven(r *run, sign int) {
+	if r.proven {
+		return
+	}
+
+	w.unprovenRuns += sign
+
+	if r.isolating {
+		w.isolatingRuns += sign
+	}
 }
 
 // runsByTask returns the worker's runs sorted by task. The caller must not modify the slice.
--- a/internal/plan/placement.go
+++ b/internal/plan/placement.go
@@ -33,6 +33,8 @@
 	SameRack bool
 	// SpeedPreference is 1 if fast workers are preferred, -1 if slow ones are, and 0 if it does not matter.
 	SpeedPreference float64
+	// PreferIdle prefers workers without tasks.
+	PreferIdle bool
 }
 
 // preferredRackBonus outweighs the placer's score and all penalties.
@@ -46,6 +48,9 @@
 // score, but not the preferred rack.
 const contentionPenalty = 200
 
+// busyPenalty is the penalty for workers with tasks where idle ones are preferred: it outweighs all else.
+const busyPenalty = 2000
+
 // BestWorker returns the index of the worker with the highest score that can take one more task, or -1.
 // The avoid function, unless nil, excludes workers.
 func BestWorker(workers []CandidateWorker, demand *Demand, placer mill.Placer, avoid func(worker string) bool) int {
@@ -73,6 +78,10 @@
 		score -= contentionPenalty
 	}
 
+	if demand.PreferIdle && w.Busy {
+		score -= busyPenalty
+	}
+
 	if demand.PreferredRack != "" && w.View.Rack == demand.PreferredRack {
 		score += preferredRackBonus
 	}
