Check that no task of a canceled job runs on, in every simulation of the scheduler

The simulation checked starts of canceled jobs only. It now also fails if, in a stretch of the cancel and the stop time without disturbances, a worker still runs a task of a canceled job; the time counts from three seconds after the last disturbance of the leader, the orders or that worker, or after a start that was carried out late.

TestPanickingOrders has the first stop panic too.

--- a/internal/core/path_test.go
+++ b/internal/core/path_test.go
@@ -18,9 +18,11 @@
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
-// fakeWorker is an in-process worker that completes each run immediately.
+// fakeWorker is an in-process worker that completes each run immediately, or only when it is stopped.
 type fakeWorker struct {
 	mu         sync.Mutex
+	endless    bool
+	running    map[mill.RunRef]bool
 	started    time.Time
 	lastNumber uint64
 	finished   []mill.FinishedRun
@@ -37,19 +39,53 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	run := mill.RunRef{Task: order.Task, Run: order.Run}
 	w.starts[order.Task]++
-	w.lastNumber++
-	w.finished = append(w.finished, mill.FinishedRun{
-		RunRef: mill.RunRef{Task: order.Task, Run: order.Run}, Number: w.lastNumber, Cause: mill.FinishDone,
-	})
+	w.running[run] = true
+
+	if !w.endless {
+		w.finish(run, mill.FinishDone)
+	}
 
 	return w.accepted()
 }
 
-func (w *fakeWorker) Stop(context.Context, mill.WorkerRef, mill.RunRef, uint64) mill.OrderReply {
+func (w *fakeWorker) Stop(_ context.Context, _ mill.WorkerRef, run mill.RunRef, _ uint64) mill.OrderReply {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.finish(run, mill.FinishStopped)
+
 	return w.accepted()
 }
 
+func (w *fakeWorker) finish(run mill.RunRef, cause mill.FinishCause) {
+	if !w.running[run] {
+		return
+	}
+
+	delete(w.running, run)
+
+	w.lastNumber++
+	w.finished = append(w.finished, mill.FinishedRun{RunRef: run, Number: w.lastNumber, Cause: cause})
+}
+
+// setEndless has the worker run tasks until they are stopped.
+func (w *fakeWorker) setEndless() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.endless = true
+}
+
+// runs returns the number of runs in progress.
+func (w *fakeWorker) runs() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return len(w.running)
+}
+
 func (w *fakeWorker) Pace(context.Context, mill.WorkerRef, *mill.PaceOrder) mill.OrderReply {
 	return w.accepted()
 }
@@ -62,15 +98,22 @@
 		w.finished = w.finished[1:]
 	}
 
-	return mill.RenewReply{
+	reply := mill.RenewReply{
 		OrderReply: w.accepted(), StartUnixMilli: 1, Finished: append([]mill.FinishedRun(nil), w.finished...),
 	}
+
+	for run := range w.running {
+		reply.Running = append(reply.Running, mill.RunStatus{RunRef: run, Percent: float64(w.clock())})
+	}
+
+	return reply
 }
 
 // testCluster is three core processes, one front and a fake worker on loopback.
 type testCluster struct {
 	t         *testing.T
 	addresses []string
+	folders   []string
 	cores     []*core.Core
 	stops     []context.CancelFunc
 	done      []chan error
@@ -83,7 +126,9 @@
 func newTestCluster(t *testing.T) *testCluster {
 	t.Helper()
 
-	cluster := &testCluster{t: t, worker: &fakeWorker{started: time.Now(), starts: make(map[mill.TaskID]int)}}
+	cluster := &testCluster{t: t, worker: &fakeWorker{
+		started: time.Now(), starts: make(map[mill.TaskID]int), running: make(map[mill.RunRef]bool),
+	}}
 	listeners := make([]net.Listener, 0, coreSize)
 
 	for range coreSize {
@@ -96,7 +141,8 @@
 		cluster.cores = append(cluster.cores, nil)
 		cluster.stops = append(cluster.stops, nil)
 		cluster.done = append(cluster.done, nil)
-		cluster.startCore(i, listeners[i], filepath.Join(t.TempDir(), fmt.Sprint(i)), true)
+		cluster.folders = append(cluster.folders, filepath.Join(t.TempDir(), fmt.Sprint(i)))
+		cluster.startCore(i, listeners[i], cluster.folders[i], true)
 	}
 
 	cluster.front = front.New(front.Config{VM: "front", Address: "127.0.0.1:1", Seeds: cluster.addresses})
@@ -199,9 +245,15 @@
 	assert.NilError(c.t, err)
 }
 
-func (c *testCluster) runJob(id string, reporter int) {
-	work := &mill.Workload{Spec: id, Steps: []mill.Step{{Count: 2}, {Count: 1, After: []int{0}}}}
+// restart starts a core process that was stopped.
+func (c *testCluster) restart(at int) {
+	listener, err := net.Listen("tcp", c.addresses[at])
+	assert.NilError(c.t, err)
+
+	c.startCore(at, listener, c.folders[at], false)
+}
 
+func (c *testCluster) submit(id string, work *mill.Workload) {
 	c.eventually("submit", func() error {
 		receipt, err := c.front.Submit(callContext(), "h", "/q/"+id, work)
 		if err == nil && receipt.Verdict != mill.VerdictAccepted {
@@ -210,6 +262,10 @@
 
 		return err
 	})
+}
+
+func (c *testCluster) runJob(id string, reporter int) {
+	c.submit(id, &mill.Workload{Spec: id, Steps: []mill.Step{{Count: 2}, {Count: 1, After: []int{0}}}})
 	c.eventually("complete", func() error {
 		c.report(reporter)
 
--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -31,6 +31,8 @@
 	percent   float64
 	// slowedPercent is by how much the run is throttled.
 	slowedPercent int
+	// late says that the start order was carried out seconds after it was sent.
+	late bool
 }
 
 // executor simulates a worker as the platform's interface specifies it.
@@ -44,6 +46,14 @@
 	up           bool
 	disconnected bool
 	draining     bool
+	// unheard loses the worker's reports, mute the orders to it.
+	unheard bool
+	mute    bool
+	// leaving says that the worker has announced that it is shutting down, and returnsAt when it may start again.
+	leaving   bool
+	returnsAt time.Time
+	// disturbedAt is when the worker or its link was last disturbed; see checkCanceled.
+	disturbedAt time.Time
 	// fails makes every run fail early, hangs stops the progress of all runs.
 	fails         bool
 	hangs         bool
@@ -69,6 +79,52 @@
 	e.running = make(map[mill.TaskID]*execution)
 	e.lastFinishedRun = make(map[mill.TaskID]int)
 	e.finished = nil
+	e.leaving = false
+	e.disturbedAt = e.sim.now
+}
+
+// reachable reports whether orders reach the worker.
+func (e *executor) reachable() bool {
+	return e.up && !e.disconnected && !e.mute
+}
+
+// reports reports whether the leader receives the worker's reports.
+func (e *executor) reports() bool {
+	return e.up && !e.disconnected && !e.unheard && !e.leaving
+}
+
+// crash ends the worker with all its runs.
+func (e *executor) crash() {
+	e.up = false
+	e.running = make(map[mill.TaskID]*execution)
+}
+
+// comeBack starts the worker again if it is down, as soon as it may.
+func (e *executor) comeBack() {
+	if wait := e.returnsAt.Sub(e.sim.now); wait > 0 {
+		e.sim.after(wait, e.comeBack)
+
+		return
+	}
+
+	if !e.up {
+		e.up = true
+		e.restart()
+	}
+}
+
+// leave announces that the worker is shutting down, and ends it before the leader counts on that.
+func (e *executor) leave() {
+	incarnation := e.startedAt
+	e.leaving = true
+	e.returnsAt = e.sim.now.Add(2 * minRestartTime)
+
+	e.sim.leader.scheduler.WorkerLeaving(e.id, e.sim.now)
+	e.sim.after(leaveDelay-2*simStep, func() {
+		if e.startedAt.Equal(incarnation) {
+			e.crash()
+		}
+	})
 }
 
 func (e *executor) status() *mill.WorkerStatus {
@@ -164,6 +220,7 @@
 		duration:  job.duration,
 		startedAt: e.sim.now,
 		fails:     e.fails || e.sim.taskFails(order.Task),
+		late:      late,
 	}
 	e.running[order.Task] = a
 
--- a/internal/lead/fuzz_test.go
+++ b/internal/lead/fuzz_test.go
@@ -48,6 +48,11 @@
 	hasLongRunning bool
 }
 
+// id returns the id of the job with that number.
+func (*actionDrawer) id(number int) string {
+	return fmt.Sprintf("%016x", number)
+}
+
 func (d *actionDrawer) submit(t *rapid.T) {
 	if d.jobs >= 8 {
 		t.Skip("enough jobs")
@@ -55,7 +60,7 @@
 
 	d.jobs++
 
-	id := fmt.Sprintf("%016x", d.jobs)
+	id := d.id(d.jobs)
 	queue := rapid.SampledFrom([]string{"free", "advised"}).Draw(t, "queue")
 	duration := time.Duration(rapid.IntRange(1, 30).Draw(t, "takes")) * 100 * time.Millisecond
 
@@ -105,7 +110,7 @@
 		t.Skip("no job")
 	}
 
-	id := fmt.Sprintf("%016x", rapid.IntRange(1, d.jobs).Draw(t, "job"))
+	id := d.id(rapid.IntRange(1, d.jobs).Draw(t, "job"))
 	if d.sim.specs[id].canceled.IsZero() {
 		d.sim.cancel(id)
 	}
@@ -120,17 +125,11 @@
 }
 
 func (d *actionDrawer) crash(t *rapid.T) {
-	e := d.executor(t)
-	e.up = false
-	e.running = make(map[mill.TaskID]*execution)
+	d.executor(t).crash()
 }
 
 func (d *actionDrawer) recover(t *rapid.T) {
-	e := d.executor(t)
-	if !e.up {
-		e.up = true
-		e.restart()
-	}
+	d.executor(t).comeBack()
 }
 
 func (d *actionDrawer) toggleNetwork(t *rapid.T) {
@@ -145,12 +144,7 @@
 	}
 
 	e.up = false
-	d.sim.after(2*minRestartTime, func() {
-		if !e.up {
-			e.up = true
-			e.restart()
-		}
-	})
+	d.sim.after(2*minRestartTime, e.comeBack)
 }
 
 func (d *actionDrawer) toggleFault(t *rapid.T) {
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -10,8 +10,12 @@
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
-// simCancelTime is how long after its cancellation a job may still start tasks.
-const simCancelTime = 3 * time.Second
+const (
+	// simCancelTime is how long after its cancellation a job may still start tasks.
+	simCancelTime = 3 * time.Second
+	// simContactTime is how long after a disturbance the platform expects nothing within a time limit.
+	simContactTime = 3 * time.Second
+)
 
 // checkStart checks a run that an executor starts: the task must not be active elsewhere,
 // completed, canceled or out of attempts, it must have its job's spec, and the steps before it must
@@ -87,6 +91,51 @@
 	}
 }
 
+// checkCanceled checks that no task of a canceled job runs on through a calm stretch of the time limit.
+func (sim *simulation) checkCanceled() {
+	if sim.faults != (faults{}) {
+		sim.disturbedAt = sim.now
+	}
+
+	for _, e := range sim.executors {
+		if !e.reachable() || e.unheard || e.fails || e.hangs {
+			e.disturbedAt = sim.now
+
+			continue
+		}
+
+		for _, a := range e.executions() {
+			canceled := sim.specs[a.ref.Task.Job].canceled
+			if canceled.IsZero() {
+				continue
+			}
+
+			if since := sim.calmSince(e, a, canceled); sim.now.Sub(since) > simCancelTime+simStopTime {
+				sim.t.Fatalf("%s: task %s run %d runs on on %s: its job was canceled at %s and all is calm since %s\n%s",
+					sim.elapsed(), a.ref.Task, a.ref.Run, e.id, canceled.Sub(simStart), since.Sub(simStart),
+					sim.explain(a.ref.Task.Job))
+			}
+		}
+	}
+}
+
+// calmSince returns from when the time limit for stopping a run of a canceled job counts.
+func (sim *simulation) calmSince(e *executor, a *execution, canceled time.Time) time.Time {
+	since := canceled
+
+	for _, disturbed := range []time.Time{sim.disturbedAt, e.disturbedAt} {
+		if calm := disturbed.Add(simContactTime); calm.After(since) {
+			since = calm
+		}
+	}
+
+	if calm := a.startedAt.Add(simContactTime); a.late && calm.After(since) {
+		since = calm
+	}
+
+	return since
+}
+
 // checkFinish checks a run that finishes on its executor: without faults, no member of a gang may time
 // out waiting for the others.
 func (sim *simulation) checkFinish(e *executor, a *execution, cause mill.FinishCause) {
@@ -165,21 +214,23 @@
 // recoverAndCheck ends all faults and lets time pass, then expects every job that can finish to be
 // finished, and every long-running task to be active.
 func (sim *simulation) recoverAndCheck(length time.Duration) {
+	sim.heal()
+	sim.run(length)
+
+	for _, id := range slices.Sorted(maps.Keys(sim.specs)) {
+		sim.checkJob(id, sim.specs[id])
+	}
+}
+
+// heal ends all faults.
+func (sim *simulation) heal() {
 	sim.faults = faults{}
 
 	for _, e := range sim.executors {
 		e.disconnected, e.fails, e.hangs, e.draining = false, false, false, false
+		e.unheard, e.mute = false, false
 
-		if !e.up {
-			e.up = true
-			e.restart()
-		}
-	}
-
-	sim.run(length)
-
-	for _, id := range slices.Sorted(maps.Keys(sim.specs)) {
-		sim.checkJob(id, sim.specs[id])
+		e.comeBack()
 	}
 }
 
--- a/internal/lead/runner_test.go
+++ b/internal/lead/runner_test.go
@@ -16,21 +16,57 @@
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
-// panickingOrders panics at the first orders of each kind, and accepts the others.
+// panickingOrders panics at the first orders of each kind, and accepts the others. Its worker runs each task that it was
+// told to start and not to stop.
 type panickingOrders struct {
-	starts, renewals atomic.Int64
+	starts, stops, renewals atomic.Int64
+
+	mu      sync.Mutex
+	running map[mill.RunRef]bool
 }
 
-func (o *panickingOrders) Start(context.Context, mill.WorkerRef, *mill.StartOrder) mill.OrderReply {
+func (o *panickingOrders) set(run mill.RunRef, running bool) mill.OrderReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	if o.running == nil {
+		o.running = make(map[mill.RunRef]bool)
+	}
+
+	o.running[run] = running
+
+	return mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: 2}
+}
+
+func (o *panickingOrders) runs() []mill.RunStatus {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	var runs []mill.RunStatus
+
+	for run, running := range o.running {
+		if running {
+			runs = append(runs, mill.RunStatus{RunRef: run, Percent: float64(o.renewals.Load())})
+		}
+	}
+
+	return runs
+}
+
+func (o *panickingOrders) Start(_ context.Context, _ mill.WorkerRef, order *mill.StartOrder) mill.OrderReply {
 	if o.starts.Add(1) == 1 {
 		panic("start")
 	}
 
-	return mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: 2}
+	return o.set(mill.RunRef{Task: order.Task, Run: order.Run}, true)
 }
 
-func (o *panickingOrders) Stop(context.Context, mill.WorkerRef, mill.RunRef, uint64) mill.OrderReply {
-	panic("stop")
+func (o *panickingOrders) Stop(_ context.Context, _ mill.WorkerRef, run mill.RunRef, _ uint64) mill.OrderReply {
+	if o.stops.Add(1) == 1 {
+		panic("stop")
+	}
+
+	return o.set(run, false)
 }
 
 func (o *panickingOrders) Renew(context.Context, mill.WorkerRef, *mill.RenewOrder) mill.RenewReply {
@@ -38,15 +74,15 @@
 		panic("renew")
 	}
 
-	return mill.RenewReply{OrderReply: mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: 2}}
+	return mill.RenewReply{OrderReply: mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: 2}, Running: o.runs()}
 }
 
 func (o *panickingOrders) Pace(context.Context, mill.WorkerRef, *mill.PaceOrder) mill.OrderReply {
 	panic("pace")
 }
 
-// TestPanickingOrders has the first start order and the first renewal panic, and expects both to count as unanswered
-// and to be sent again, in a process that goes on.
+// TestPanickingOrders has the first order of each kind panic, and expects it to count as unanswered and to be sent again, in
+// a process that goes on. Once the task runs, its job is canceled, and the task has to be stopped.
 func TestPanickingOrders(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -95,12 +131,24 @@
 	go runner.Run()
 
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if orders.starts.Load() > 1 && orders.renewals.Load() > 1 {
+		if len(orders.runs()) > 0 && orders.renewals.Load() > 1 {
 			return poll.Success()
 		}
 
 		return poll.Continue("%d starts and %d renewals sent", orders.starts.Load(), orders.renewals.Load())
 	}, poll.WithTimeout(time.Minute), poll.WithDelay(time.Millisecond))
+
+	mu.Lock()
+	state.Apply(&jobs.Command{Cancel: &jobs.Cancel{Job: "job"}})
+	mu.Unlock()
+
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(orders.runs()) == 0 && orders.stops.Load() > 1 {
+			return poll.Success()
+		}
+
+		return poll.Continue("%d stops sent, %d runs in progress", orders.stops.Load(), len(orders.runs()))
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(time.Millisecond))
 }
 
 // TestRestAfter expects quick plans to be spaced, and the pause after long ones to stay in proportion: with eight times
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -86,6 +86,8 @@
 	failingJobs map[string]bool
 	// faultless says that the test injects no faults.
 	faultless bool
+	// disturbedAt is when the leader or an order was last disturbed; see checkCanceled.
+	disturbedAt time.Time
 	// provider is nil in simulations without maintenance waves.
 	provider *provider
 	// withoutReports makes new leaders begin before any worker has reported to them.
@@ -156,7 +158,7 @@
 
 // sendReports sends the executor's status to the leader now and every 1.5 seconds.
 func (sim *simulation) sendReports(e *executor) {
-	if e.up && !e.disconnected {
+	if e.reports() {
 		sim.leader.report(e.status(), sim.now)
 	}
 
@@ -188,6 +190,7 @@
 	}
 
 	sim.proposals = nil
+	sim.disturbedAt = sim.now
 
 	term := uint64(1)
 	if sim.leader != nil {
@@ -200,7 +203,7 @@
 	sim.leader = &leader{scheduler: New(bounds, term, sim.now, sim.state, place.Pack{}), term: term}
 
 	for _, e := range sim.executors {
-		if e.up && !e.disconnected && !sim.withoutReports {
+		if e.reports() && !sim.withoutReports {
 			sim.leader.report(e.status(), sim.now)
 		}
 	}
@@ -277,6 +280,7 @@
 	}
 
 	sim.plan()
+	sim.checkCanceled()
 }
 
 // commit applies the proposals that are due.
--- a/internal/lead/transport_test.go
+++ b/internal/lead/transport_test.go
@@ -36,7 +36,7 @@
 		sim.after(defaultOrderTimeout, func() { answer(mill.OutcomeUnanswered) })
 	default:
 		sim.after(delay, func() {
-			if !e.up || e.disconnected {
+			if !e.reachable() {
 				sim.after(defaultOrderTimeout, func() { answer(mill.OutcomeUnanswered) })
 
 				return
@@ -44,7 +44,7 @@
 
 			carryOut(e, false)
 			sim.after(delay, func() {
-				if e.disconnected {
+				if !e.reachable() {
 					answer(mill.OutcomeUnanswered)
 				} else {
 					answer(mill.OutcomeAccepted)
@@ -55,7 +55,7 @@
 }
 
 func (sim *simulation) deliverIfReachable(e *executor, do func()) {
-	if e.up && !e.disconnected {
+	if e.reachable() {
 		do()
 	}
 }
