Check in each simulation that no task of a canceled job runs on

In the simulation a reply that was sent before its worker crashed still arrives, as it does on a connection.

--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -32,6 +32,8 @@
 	percent   float64
 	// slowedPercent is by how much the run is throttled.
 	slowedPercent int
+	// late says that the start order was carried out seconds after it was sent.
+	late bool
 }
 
 // executor simulates a worker as the platform's interface specifies it.
@@ -48,6 +50,16 @@
 	up           bool
 	disconnected bool
 	draining     bool
+	// unheard loses the worker's reports, mute the orders to it.
+	unheard bool
+	mute    bool
+	// refusesStops makes the worker refuse to stop runs because it is unhealthy.
+	refusesStops bool
+	// leaving says that the worker has announced that it is shutting down, and returnsAt when it may start again.
+	leaving   bool
+	returnsAt time.Time
+	// disturbedAt is when the worker or its link was last disturbed; see checkCanceled.
+	disturbedAt time.Time
 	// fails makes every run fail early, hangs stops the progress of all runs.
 	fails         bool
 	hangs         bool
@@ -73,6 +85,46 @@
 	e.running = make(map[mill.TaskID]*execution)
 	e.lastFinishedRun = make(map[mill.TaskID]int)
 	e.finished = nil
+	e.leaving = false
+	e.disturbedAt = e.sim.now
+}
+
+// reachable reports whether orders reach the worker.
+func (e *executor) reachable() bool {
+	return e.up && !e.disconnected && !e.mute
+}
+
+// reports reports whether the leader receives the worker's reports.
+func (e *executor) reports() bool {
+	return e.up && !e.disconnected && !e.unheard && !e.leaving
+}
+
+// comeBack starts the worker again if it is down, as soon as it may.
+func (e *executor) comeBack() {
+	if wait := e.returnsAt.Sub(e.sim.now); wait > 0 {
+		e.sim.after(wait, e.comeBack)
+
+		return
+	}
+
+	if !e.up {
+		e.up = true
+		e.restart()
+	}
+}
+
+// leave announces that the worker is shutting down, and ends it before the leader counts on that.
+func (e *executor) leave() {
+	incarnation := e.startedAt
+	e.leaving = true
+	e.returnsAt = e.sim.now.Add(2 * minRestartTime)
+
+	e.sim.leader.scheduler.WorkerLeaving(e.id, e.sim.now)
+	e.sim.after(leaveDelay-2*simStep, func() {
+		if e.startedAt.Equal(incarnation) {
+			e.crash()
+		}
+	})
 }
 
 func (e *executor) status() *mill.WorkerStatus {
@@ -168,6 +220,7 @@
 		duration:  job.duration,
 		startedAt: e.sim.now,
 		fails:     e.fails || e.sim.taskFails(order.Task),
+		late:      late,
 	}
 	e.running[order.Task] = a
 
@@ -218,6 +271,10 @@
 		return e.reply(mill.OutcomeFenced)
 	}
 
+	if e.refusesStops || e.fails && e.sim.shedsStops && e.sim.flip("shed stop") {
+		return mill.OrderReply{Outcome: mill.OutcomeUnhealthy}
+	}
+
 	a, ok := e.running[run.Task]
 	if ok && a.ref.Run == run.Run {
 		if a.stopsAt.IsZero() {
--- a/internal/lead/transport_test.go
+++ b/internal/lead/transport_test.go
@@ -38,7 +38,7 @@
 		sim.after(defaultOrderTimeout, func() { answer(mill.OutcomeUnanswered) })
 	default:
 		sim.after(delay, func() {
-			if !e.up || e.disconnected {
+			if !e.reachable() {
 				sim.after(defaultOrderTimeout, func() { answer(mill.OutcomeUnanswered) })
 
 				return
@@ -52,7 +52,8 @@
 
 			carryOut(e, false)
 			sim.after(delay, func() {
-				if e.disconnected {
+				// A reply on its way arrives though its sender has crashed.
+				if e.disconnected || e.mute {
 					answer(mill.OutcomeUnanswered)
 				} else {
 					answer(mill.OutcomeAccepted)
@@ -63,7 +64,7 @@
 }
 
 func (sim *simulation) deliverIfReachable(e *executor, id string, do func()) {
-	if e.up && !e.disconnected && e.id == id {
+	if e.reachable() && e.id == id {
 		do()
 	}
 }
