Send a stop order again that an unhealthy worker has refused

Cause: any reply to a stop order but a few counted as the worker's acknowledgment. A worker that sheds load answers 429 or 503 to stop orders too, and has then done nothing. An acknowledged stop is not sent again, while the lease of the run is renewed for as long as it is listed.

Fix: a stop counts only when the worker says that the run is stopped or has finished; any other reply leaves the run as it was.

--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -97,18 +97,18 @@
 }
 
 func (s *Scheduler) addStop(actions *Actions, r *run, now time.Time) {
-	if r.stopAcknowledged || now.Sub(r.stopSentAt) < s.bounds.orderTimeout() || r.worker.status.Address == "" {
+	if r.stopAcknowledged || now.Before(r.nextStop) || r.worker.status.Address == "" {
 		return
 	}
 
-	r.stopSentAt = now
+	r.nextStop = now.Add(s.bounds.orderTimeout())
 
 	actions.Stops = append(actions.Stops, Stop{To: r.worker.ref(), Run: r.ref(), FencingToken: s.fencingToken(r.worker)})
 }
 
 func (s *Scheduler) addOrphanStops(actions *Actions, now time.Time) {
 	for ref, o := range s.orphans {
-		if now.Sub(o.stopSentAt) < s.bounds.orderTimeout() {
+		if now.Before(o.nextStop) {
 			continue
 		}
 
@@ -118,7 +118,7 @@
 			continue
 		}
 
-		o.stopSentAt = now
+		o.nextStop = now.Add(s.bounds.orderTimeout())
 		s.orphans[ref] = o
 		actions.Stops = append(actions.Stops, Stop{To: o.worker.ref(), Run: ref, FencingToken: s.fencingToken(o.worker)})
 	}
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -122,12 +122,12 @@
 // StopAnswered records a worker's reply to a stop order.
 func (s *Scheduler) StopAnswered(stop *Stop, reply mill.OrderReply, now time.Time) {
 	switch reply.Outcome {
-	case mill.OutcomeUnanswered, mill.OutcomeUnreachable, mill.OutcomeNotSent:
+	case mill.OutcomeUnanswered, mill.OutcomeUnreachable:
 		return
 	default:
 	}
 
-	if s.removeOrphan(stop) {
+	if s.orphanStopAnswered(stop, reply.Outcome, now) {
 		return
 	}
 
@@ -138,30 +138,44 @@
 
 	s.addEvent(EventStop, r, reply.Outcome.String())
 
-	switch reply.Outcome {
-	case mill.OutcomeWorkerReplaced:
+	switch {
+	case reply.Outcome == mill.OutcomeWorkerReplaced:
 		s.workerReplaced(r.worker)
-	case mill.OutcomeFenced:
+	case reply.Outcome.Stopped():
+		s.stopAccepted(r, reply.ClockMilli, now)
+	case reply.Outcome.Transient():
+		r.nextStop = now.Add(retryDelay)
 	default:
-		r.worker.clock.observe(reply.ClockMilli, now)
-		r.stopAcknowledged = true
+	}
+}
 
-		if r.phase == runStarting {
-			r.phase = runDoubtful
-		}
+func (s *Scheduler) stopAccepted(r *run, clockMilli int64, now time.Time) {
+	r.worker.clock.observe(clockMilli, now)
+	r.stopAcknowledged = true
 
-		r.updatedAt = now
-		r.worker.nextRenewal = now
+	if r.phase == runStarting {
+		r.phase = runDoubtful
 	}
+
+	r.updatedAt = now
+	r.worker.nextRenewal = now
 }
 
-func (s *Scheduler) removeOrphan(stop *Stop) bool {
+// orphanStopAnswered records the reply to a stop order for an orphan, and reports whether it was for one.
+func (s *Scheduler) orphanStopAnswered(stop *Stop, outcome mill.OrderOutcome, now time.Time) bool {
 	o, ok := s.orphans[stop.Run]
 	if !ok || o.worker.status.ID != stop.To.ID {
 		return false
 	}
 
-	delete(s.orphans, stop.Run)
+	switch {
+	case outcome == mill.OutcomeWorkerReplaced, outcome.Stopped():
+		delete(s.orphans, stop.Run)
+	case outcome.Transient():
+		o.nextStop = now.Add(retryDelay)
+		s.orphans[stop.Run] = o
+	default:
+	}
 
 	return true
 }
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -53,7 +53,8 @@
 	// refused.
 	stopping         bool
 	stopAcknowledged bool
-	stopSentAt       time.Time
+	// nextStop is the earliest time of the next stop order.
+	nextStop time.Time
 	// percent is the run's reported progress, and progressAt when that last changed.
 	percent    float64
 	progressAt time.Time
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -73,8 +73,8 @@
 
 // orphan is a run on a worker that the state does not know. It is stopped.
 type orphan struct {
-	worker     *worker
-	stopSentAt time.Time
+	worker   *worker
+	nextStop time.Time
 }
 
 // restartBits is the number of low bits of a fencing token that count the restarts of a worker
--- a/pkg/mill/orders.go
+++ b/pkg/mill/orders.go
@@ -69,6 +69,17 @@
 	"unreachable", "notSent",
 }
 
+// Stopped reports whether a worker that replies so to a stop order has stopped the run, or is about to. Any other reply
+// leaves the run as it was.
+func (o OrderOutcome) Stopped() bool {
+	return o == OutcomeAccepted || o == OutcomeFinished
+}
+
+// Transient reports whether an order with this outcome has not been carried out, but may be if it is sent again soon.
+func (o OrderOutcome) Transient() bool {
+	return o == OutcomeUnhealthy || o == OutcomeNotSent
+}
+
 // String returns the outcome's name in logs.
 func (o OrderOutcome) String() string {
 	if int(o) < len(orderOutcomeNames) {
