Let simulated workers shrink and grow, and check starts against the room they had

The next deployment's workers may change their capacity while they run and report it with the next report. A start must not bring a worker over it, what is being stopped counts, and a capacity that has shrunk counts contact_ms and one interval between reports later. An order that is carried out late has no time bound. Reports may be lost or late there, which no test uses yet.

--- a/internal/lead/fuzz_test.go
+++ b/internal/lead/fuzz_test.go
@@ -166,6 +166,15 @@
 	}
 }
 
+// resize changes an executor's cores and memory.
+func (d *actionDrawer) resize(t *rapid.T) {
+	e := d.executor(t)
+	next := e.capacity
+	next.MilliCores = 1000 * int64(rapid.IntRange(0, 4).Draw(t, "cores left"))
+	next.MemoryMiB = 1000 * int64(rapid.IntRange(0, 4).Draw(t, "memory left"))
+	e.resize(next)
+}
+
 func (d *actionDrawer) faults(t *rapid.T) {
 	d.sim.faults = faults{
 		lostOrder:  rapid.SampledFrom([]int{0, 0, 10, 40}).Draw(t, "lostOrder"),
