Test that the reports of a restarted worker count (fails)

Seen by callers: after a worker has restarted under its id with fewer cores, tasks are started on it that need more than it has, and it is given work though it reports that it is draining.

Cause: when a renewal shows the restart before the new incarnation's first report, the scheduler takes over the start of the incarnation, but keeps the sequence of the last report of the one before. All reports of the new one up to that sequence, which begins again, count as old and are ignored.

--- a/internal/lead/capacity_test.go
+++ b/internal/lead/capacity_test.go
@@ -9,6 +9,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/place"
 	"github.com/cranberrymill/cranberrymill/internal/seeds"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -79,3 +81,92 @@
 		assert.Assert(t, job.Finished(), "%s: %s", id, sim.explain(id))
 	}
 }
+
+// capacityTest is a scheduler with one worker.
+type capacityTest struct {
+	t         *testing.T
+	state     *jobs.State
+	scheduler *Scheduler
+	now       time.Time
+}
+
+func newCapacityTest(t *testing.T) *capacityTest {
+	t.Helper()
+
+	state := jobs.NewState()
+	state.Apply(&jobs.Command{Setup: simSetup()})
+
+	scheduler := New(Bounds{MaxLease: simMaxLease}, 1, simStart, state, place.Pack{})
+
+	return &capacityTest{t: t, state: state, scheduler: scheduler, now: simStart}
+}
+
+// report has the worker report the number of cores that it has.
+func (c *capacityTest) report(startedMilli int64, sequence uint64, cores int64) {
+	c.scheduler.Report(&mill.WorkerStatus{
+		ID: "w", StartUnixMilli: startedMilli, Service: "pool", Address: "w", Rack: "r", Labels: []string{"a", "r"},
+		Capacity:   mill.Resources{MilliCores: 1000 * cores, MemoryMiB: 4000},
+		ClockMilli: 1 + c.now.Sub(simStart).Milliseconds(), Sequence: sequence,
+	}, c.now)
+}
+
+// answerRenewal has the worker answer a renewal with no runs.
+func (c *capacityTest) answerRenewal(startedMilli int64) {
+	c.scheduler.RenewAnswered(&Renew{To: mill.WorkerRef{ID: "w", Address: "w"}}, &mill.RenewReply{
+		OrderReply:     mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: 1 + c.now.Sub(simStart).Milliseconds()},
+		StartUnixMilli: startedMilli,
+	}, c.now, c.now)
+}
+
+// pass lets time pass.
+func (c *capacityTest) pass(length time.Duration) {
+	c.now = c.now.Add(length)
+}
+
+// submit submits a job with one task that needs a number of cores.
+func (c *capacityTest) submit(id string, cores int64) {
+	c.state.Apply(&jobs.Command{Submit: &jobs.Submit{Job: id, Queue: "free", UnixMilli: c.now.UnixMilli(), Work: mill.Workload{
+		Steps: []mill.Step{{Count: 1, PerTask: mill.Resources{MilliCores: 1000 * cores}, Estimate: time.Second}},
+	}}})
+}
+
+// plan plans once, commits what is to be committed and returns the actions.
+func (c *capacityTest) plan() Actions {
+	actions := c.scheduler.Next(c.now, c.now.UnixMilli(), c.state)
+
+	results := make([]jobs.Result, 0, len(actions.Commands))
+	for i := range actions.Commands {
+		results = append(results, c.state.Apply(&actions.Commands[i]))
+	}
+
+	c.scheduler.Committed(actions.Commands, results, nil, c.now)
+
+	return actions
+}
+
+// placed reports whether the job's task is placed.
+func (c *capacityTest) placed(id string) bool {
+	job, ok := c.state.Job(id)
+	assert.Assert(c.t, ok)
+
+	return job.Placed > 0
+}
+
+// TestReportsAfterRestartCount restarts a worker under its id with fewer cores, has it answer a renewal before its
+// first report, and expects that report to count though its sequence begins again.
+func TestReportsAfterRestartCount(t *testing.T) {
+	c := newCapacityTest(t)
+	c.report(1, 100, 4)
+
+	c.pass(time.Second)
+	c.answerRenewal(2)
+
+	c.pass(100 * time.Millisecond)
+	c.report(2, 1, 1)
+
+	c.submit("large", 2)
+	c.submit("small", 1)
+	c.plan()
+	assert.Assert(t, !c.placed("large"))
+	assert.Assert(t, c.placed("small"))
+}
