Test that placements rely on a recent status only (fails)

Seen by callers: a worker whose room shrank seconds ago is started tasks on that exceed it, for as long as its reports do not reach the leader while it answers the leader's calls; and likewise after it has restarted, or when its latest report was held up on the way.

Cause: a worker counts as heard when it answers a renewal, but only its reports tell its capacity. The age of the status itself is not considered, nor that a renewal shows another incarnation than the one that sent the status.

Found by the simulation with lost and late reports, cut networks and restarts. The three tests fail.

--- a/internal/lead/capacity_test.go
+++ b/internal/lead/capacity_test.go
@@ -103,11 +103,16 @@
 
 // report has the worker report the number of cores that it has.
 func (c *capacityTest) report(startedMilli int64, sequence uint64, cores int64) {
-	c.scheduler.Report(&mill.WorkerStatus{
+	c.scheduler.Report(c.status(startedMilli, sequence, cores), c.now)
+}
+
+// status returns the worker's status with the number of cores that it has.
+func (c *capacityTest) status(startedMilli int64, sequence uint64, cores int64) *mill.WorkerStatus {
+	return &mill.WorkerStatus{
 		ID: "w", StartUnixMilli: startedMilli, Service: "pool", Address: "w", Rack: "r", Labels: []string{"a", "r"},
 		Capacity:   mill.Resources{MilliCores: 1000 * cores, MemoryMiB: 4000},
 		ClockMilli: 1 + c.now.Sub(simStart).Milliseconds(), Sequence: sequence,
-	}, c.now)
+	}
 }
 
 // answerRenewal has the worker answer a renewal with no runs.
@@ -130,8 +135,8 @@
 	}}})
 }
 
-// plan plans once, commits what is to be committed and returns the actions.
-func (c *capacityTest) plan() Actions {
+// plan plans once and commits what is to be committed.
+func (c *capacityTest) plan() {
 	actions := c.scheduler.Next(c.now, c.now.UnixMilli(), c.state)
 
 	results := make([]jobs.Result, 0, len(actions.Commands))
@@ -140,8 +145,6 @@
 	}
 
 	c.scheduler.Committed(actions.Commands, results, nil, c.now)
-
-	return actions
 }
 
 // placed reports whether the job's task is placed.
@@ -170,3 +173,64 @@
 	assert.Assert(t, !c.placed("large"))
 	assert.Assert(t, c.placed("small"))
 }
+
+// TestRenewalsDoNotConfirmCapacity has a worker answer renewals without any report, and expects no placement on it once
+// its capacity may have shrunk long enough ago to count, and one after its next report.
+func TestRenewalsDoNotConfirmCapacity(t *testing.T) {
+	c := newCapacityTest(t)
+	c.report(1, 1, 4)
+
+	for range 10 {
+		c.pass(500 * time.Millisecond)
+		c.answerRenewal(1)
+	}
+
+	c.submit("job", 2)
+	c.plan()
+	assert.Assert(t, !c.placed("job"))
+
+	c.report(1, 2, 4)
+	c.plan()
+	assert.Assert(t, c.placed("job"))
+}
+
+// TestRenewalDoesNotTellCapacityAfterRestart has a renewal show that a worker has restarted, and expects no placement
+// before its new incarnation has reported its capacity.
+func TestRenewalDoesNotTellCapacityAfterRestart(t *testing.T) {
+	c := newCapacityTest(t)
+	c.report(1, 1, 4)
+	c.pass(time.Second)
+	c.answerRenewal(2)
+
+	c.submit("job", 2)
+	c.plan()
+	assert.Assert(t, !c.placed("job"))
+
+	c.report(2, 1, 4)
+	c.plan()
+	assert.Assert(t, c.placed("job"))
+}
+
+// TestLateReportDoesNotConfirmCapacity delivers a report long after it was sent, as the worker's clock shows, and
+// expects no placement before a newer one.
+func TestLateReportDoesNotConfirmCapacity(t *testing.T) {
+	c := newCapacityTest(t)
+	c.report(1, 1, 4)
+
+	c.pass(10 * time.Second)
+	c.answerRenewal(1)
+	c.pass(2 * time.Second)
+
+	late := c.status(1, 2, 4)
+	late.ClockMilli = 500
+	c.scheduler.Report(late, c.now)
+
+	c.submit("job", 2)
+	c.plan()
+	assert.Assert(t, !c.placed("job"))
+
+	c.pass(100 * time.Millisecond)
+	c.report(1, 3, 4)
+	c.plan()
+	assert.Assert(t, c.placed("job"))
+}
