Place tasks only where a recent status tells the capacity

Seen by callers: a worker whose room shrank seconds ago was started tasks on that exceed it, for as long as its reports did not reach the leader while it answered the leader's calls; and likewise after it had restarted, or when its latest report had been held up on the way.

Cause: a worker counted as heard when it answered a renewal, but only its reports tell its capacity.

Each status now has the time when it was sent: when it arrived, less its age by the worker's own clock where that is known from other answers. A held up report no longer sets that clock back. Of another incarnation than the one that sent it, a status tells nothing. A status from the log counts as sent at the start of the term, as before.

--- a/internal/lead/bounds.go
+++ b/internal/lead/bounds.go
@@ -20,6 +20,9 @@
 	// MaxDeliveryDelay is how long a start order may wait before it is delivered to the worker; 0
 	// where workers are called directly.
 	MaxDeliveryDelay time.Duration
+	// CapacityDelay is how long a worker's earlier capacity still counts after it has shrunk; 0 selects the
+	// default.
+	CapacityDelay time.Duration
 	// MaxLeaseDelay is how long after it was granted a lease may begin: where leases count from the
 	// order's arrival, a delayed order brings a delayed lease.
 	MaxLeaseDelay time.Duration
@@ -34,6 +37,17 @@
 	return defaultOrderTimeout
 }
 
+// statusValidity returns how long after a worker has sent its status a start may be ordered that relies on its capacity:
+// the order must arrive before a capacity that has shrunk since then counts.
+func (b *Bounds) statusValidity() time.Duration {
+	delay := b.CapacityDelay
+	if delay == 0 {
+		delay = defaultCapacityDelay
+	}
+
+	return max(delay/2, delay-b.orderTimeout())
+}
+
 // defaultLease is how long a worker keeps its runs without hearing from the scheduler. It is long
 // enough to cover a power loss of some seconds of all processes, an election and a round of
 // renewals, and short enough that a long-running task of a lost worker runs again within the
@@ -56,6 +70,9 @@
 	// defaultOrderTimeout is how long an order that was sent as a call may stay unanswered before
 	// it is sent again: several round trips between regions.
 	defaultOrderTimeout = 400 * time.Millisecond
+	// defaultCapacityDelay is how long a capacity that has shrunk does not count yet: the shortest time of the
+	// deployments known.
+	defaultCapacityDelay = 4500 * time.Millisecond
 	// retryDelay is the pause before a failed order or request is sent again.
 	retryDelay = 100 * time.Millisecond
 	// maxStartAttempts is how often a start order is sent before its run is stopped instead.
--- a/internal/lead/clock.go
+++ b/internal/lead/clock.go
@@ -15,6 +15,15 @@
 	}
 }
 
+// maxReportDelay is how long a report takes on its way to the scheduler, unless it was held up.
+const maxReportDelay = 500 * time.Millisecond
+
+// outdated reports whether a value in a report should be observed: no other is known, or only one that is not recent,
+// and the report was not held up.
+func (c *clock) outdated(milli int64, at time.Time) bool {
+	return !c.known() || at.Sub(c.observedAt) > time.Second && milli > c.lowerBound(at)-maxReportDelay.Milliseconds()
+}
+
 func (c *clock) known() bool {
 	return !c.observedAt.IsZero()
 }
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -128,10 +128,16 @@
 	return pools
 }
 
-// acceptsWork reports whether a worker may be given new work: it is usable and its machine is not
-// being drained for maintenance.
+// acceptsWork reports whether a worker may be given new work: it is usable, its capacity is known and its machine is
+// not being drained for maintenance.
 func (s *Scheduler) acceptsWork(w *worker, now time.Time) bool {
-	return w.usable(now) && s.maintenanceOf(w) == nil
+	return w.usable(now) && s.capacityKnown(w, now) && s.maintenanceOf(w) == nil
+}
+
+// capacityKnown reports whether the worker's status is recent enough to rely on its capacity, which may shrink. Answers
+// to orders do not tell the capacity.
+func (s *Scheduler) capacityKnown(w *worker, now time.Time) bool {
+	return now.Sub(w.statusSentAt) < s.bounds.statusValidity()
 }
 
 // acceptingWorkers returns the workers with the given ids that accept new work, sorted by id.
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -201,6 +201,7 @@
 	if reply.StartUnixMilli != 0 && w.status.StartUnixMilli != 0 && reply.StartUnixMilli != w.status.StartUnixMilli {
 		s.workerRestarted(w, reply.ClockMilli, now)
 		w.status.StartUnixMilli = reply.StartUnixMilli
+		w.statusSentAt = time.Time{}
 		w.status.Sequence = 0 // The new incarnation numbers its reports from the start again.
 		w.recordCurrent = false
 	}
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -182,11 +182,12 @@
 
 	w.recordCurrent = w.recordCurrent && w.status.SameStableFields(status)
 	w.status = *status
+	w.statusSentAt = w.sentAt(status, at)
 	w.lastHeard = at
 	w.gone = false
 	w.leavingSince = time.Time{}
 
-	if !w.clock.known() || at.Sub(w.clock.observedAt) > time.Second {
+	if w.clock.outdated(status.ClockMilli, at) {
 		w.clock.observe(status.ClockMilli, at)
 	}
 
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -213,6 +213,7 @@
 
 	bounds := Bounds{
 		MaxLease: simMaxLease, GangTimeout: simGangTimeout, MaxStopTime: simStopTime, MaintenanceTime: simMaintenanceTime,
+		CapacityDelay: simContact + simReportInterval,
 	}
 	sim.leader = &leader{scheduler: New(bounds, term, sim.now, sim.state, place.Pack{}), term: term}
 
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -21,6 +21,9 @@
 	// lastHeard is when the worker last reported or answered; zero while it is known only from the
 	// state.
 	lastHeard time.Time
+	// statusSentAt is when the worker has sent its status, at the earliest. It is zero while the status is that of
+	// an earlier incarnation.
+	statusSentAt time.Time
 	// lastRenewal is when the worker last answered a renewal.
 	lastRenewal time.Time
 	// leavingSince is when the worker announced that it is shutting down.
@@ -141,6 +144,17 @@
 	return w.failedRenewals == 0 && now.Sub(w.lastHeard) < reportTimeout && w.health.Schedulable(now)
 }
 
+// sentAt returns when the worker has sent a status that was received at the given time, by its clock.
+func (w *worker) sentAt(status *mill.WorkerStatus, at time.Time) time.Time {
+	if !w.clock.known() || status.ClockMilli <= 0 {
+		return at
+	}
+
+	age := time.Duration(w.clock.estimate(at)-status.ClockMilli) * time.Millisecond
+
+	return at.Add(-max(0, age))
+}
+
 // unverified reports whether the worker is known only from the state and has not been called yet.
 func (w *worker) unverified() bool {
 	return w.lastHeard.IsZero() && w.recorded != nil && w.failedRenewals == 0
--- a/internal/lead/worker_records.go
+++ b/internal/lead/worker_records.go
@@ -15,6 +15,7 @@
 		w := s.worker(id)
 		w.status = *recorded
 		w.recorded = recorded
+		w.statusSentAt = s.termStart
 	}
 }
 
