Test that no start is ordered that exceeds the room that is left (fails)

Seen by callers: a task is started on a worker that has reported in the meantime that it has too little room for it.

Cause: the room is considered when a task is placed. Its start is ordered when the placement is committed, and again when the order was not answered, and without limit while it could not be sent, whatever the worker has reported since.

The three tests fail.

--- a/internal/lead/capacity_test.go
+++ b/internal/lead/capacity_test.go
@@ -135,8 +135,8 @@
 	}}})
 }
 
-// plan plans once and commits what is to be committed.
-func (c *capacityTest) plan() {
+// plan plans once, commits what is to be committed and returns the actions.
+func (c *capacityTest) plan() Actions {
 	actions := c.scheduler.Next(c.now, c.now.UnixMilli(), c.state)
 
 	results := make([]jobs.Result, 0, len(actions.Commands))
@@ -145,6 +145,8 @@
 	}
 
 	c.scheduler.Committed(actions.Commands, results, nil, c.now)
+
+	return actions
 }
 
 // placed reports whether the job's task is placed.
@@ -234,3 +236,69 @@
 	c.plan()
 	assert.Assert(t, c.placed("job"))
 }
+
+// TestNoStartAfterCapacityShrank places a task on a worker that shrinks before its start is ordered, and expects that it
+// is not ordered, and that the task is placed again once the worker has grown.
+func TestNoStartAfterCapacityShrank(t *testing.T) {
+	c := newCapacityTest(t)
+	c.report(1, 1, 4)
+	c.submit("job", 2)
+	c.plan()
+	assert.Assert(t, c.placed("job"))
+
+	c.report(1, 2, 1)
+
+	for range 3 {
+		c.pass(100 * time.Millisecond)
+		assert.Equal(t, len(c.plan().Starts), 0)
+	}
+
+	assert.Assert(t, !c.placed("job"))
+
+	c.report(1, 3, 2)
+	c.plan()
+	assert.Equal(t, len(c.plan().Starts), 1)
+}
+
+// TestNoRetryAfterCapacityShrank has a worker shrink after a start order that it has not answered, and expects that
+// the run is stopped instead of ordered again.
+func TestNoRetryAfterCapacityShrank(t *testing.T) {
+	c := newCapacityTest(t)
+	c.report(1, 1, 4)
+	c.submit("job", 2)
+	c.plan()
+
+	starts := c.plan().Starts
+	assert.Equal(t, len(starts), 1)
+	c.scheduler.StartAnswered(&starts[0], mill.OrderReply{}, c.now)
+
+	c.report(1, 2, 1)
+	c.pass(retryDelay)
+
+	actions := c.plan()
+	assert.Equal(t, len(actions.Starts), 0)
+	assert.Equal(t, len(actions.Stops), 1)
+	assert.Assert(t, c.placed("job"))
+}
+
+// TestNoStartWithoutRecentStatus has a start order remain unsent for seconds, in which the worker answers renewals but
+// does not report, and expects that the order is given up once the worker's capacity is no longer known.
+func TestNoStartWithoutRecentStatus(t *testing.T) {
+	c := newCapacityTest(t)
+	c.report(1, 1, 4)
+	c.submit("job", 2)
+	c.plan()
+
+	for range 10 {
+		starts := c.plan().Starts
+		for i := range starts {
+			c.scheduler.StartAnswered(&starts[i], mill.OrderReply{Outcome: mill.OutcomeNotSent}, c.now)
+		}
+
+		c.pass(500 * time.Millisecond)
+		c.answerRenewal(1)
+	}
+
+	assert.Equal(t, len(c.plan().Starts), 0)
+	assert.Assert(t, !c.placed("job"))
+}
