Withdraw start orders that exceed the room that is left

Seen by callers: a task was started on a worker that had reported in the meantime that it has too little room for it.

Cause: the room was considered when a task was placed, not when its start was ordered, which may be later: after the commit, after an order that was not answered, or when the process had no free connection.

Before orders are made, the starts that are due for a worker are withdrawn if its runs exceed the capacity that it has reported, or if no recent status tells that. A run whose order was never sent has not started, so its task is placed again at once; one that may have started is stopped and counts until the worker's list shows what became of it.

--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -34,6 +34,38 @@
 	}
 }
 
+// withdrawStarts withdraws the start orders that are due for workers whose capacity is not known any more, or has
+// shrunk since the placement so that the runs exceed it, until the others fit.
+func (s *Scheduler) withdrawStarts(now time.Time) {
+	for _, w := range s.workersByID() {
+		if s.fitsRuns(w, now) {
+			continue
+		}
+
+		for _, r := range w.runsByTask() {
+			if r.phase == runStarting && !r.stopping && !r.startInFlight && !s.fitsRuns(w, now) {
+				s.withdrawStart(r, now)
+			}
+		}
+	}
+}
+
+// fitsRuns reports whether a worker is known to have the capacity for the runs that are or may be active on it.
+func (s *Scheduler) fitsRuns(w *worker, now time.Time) bool {
+	return len(w.runs) == 0 || s.capacityKnown(w, now) && w.used.Fits(w.status.Capacity)
+}
+
+// withdrawStart finishes a run that has not started, or stops it if it may have.
+func (s *Scheduler) withdrawStart(r *run, now time.Time) {
+	if r.startAttempts > r.unreachableStarts {
+		s.markDoubtful(r, now)
+
+		return
+	}
+
+	s.finishRun(r, mill.FinishNotStarted)
+}
+
 // stopRun has a run stopped.
 func (s *Scheduler) stopRun(r *run) {
 	r.stopping = true
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -245,6 +245,7 @@
 
 	s.expireRuns(now)
 	s.stopUnwanted(state)
+	s.withdrawStarts(now)
 
 	actions.Commands = s.finishCommands(now)
 	candidates := s.candidates(wallMilli, state)
