Test that a record from the log does not tell the capacity (fails)

Seen by callers: after a change of leader, tasks are started on workers that have shrunk, seconds ago or during an outage of the core, so that they exceed the room that is left.

Cause: a new leader takes a worker's capacity from its record in the log, which the leader before last changed when that received another status, and relies on it once the worker has answered a renewal.

The test fails.

--- a/internal/lead/capacity_test.go
+++ b/internal/lead/capacity_test.go
@@ -302,3 +302,24 @@
 	assert.Equal(t, len(c.plan().Starts), 0)
 	assert.Assert(t, !c.placed("job"))
 }
+
+// TestRecordDoesNotTellCapacity has a new leader that knows a worker from the log, and expects no placement before the
+// worker has reported its capacity, though it has answered a renewal.
+func TestRecordDoesNotTellCapacity(t *testing.T) {
+	c := newCapacityTest(t)
+	c.report(1, 1, 4)
+	c.plan()
+	c.pass(10 * time.Second)
+
+	c.scheduler = New(Bounds{MaxLease: simMaxLease}, 2, c.now, c.state, place.Pack{})
+	assert.Equal(t, len(c.plan().Renews), 1)
+	c.answerRenewal(1)
+
+	c.submit("job", 2)
+	c.plan()
+	assert.Assert(t, !c.placed("job"))
+
+	c.report(1, 8, 4)
+	c.plan()
+	assert.Assert(t, c.placed("job"))
+}
