Rely on a worker's capacity only once it has reported to the new leader

Seen by callers: after a change of leader, tasks were started on workers that had shrunk, seconds ago or during an outage of the core, so that they exceeded the room that was left.

Cause: a new leader took a worker's capacity from its record in the log, whose age it can't tell, and relied on it once the worker had answered a renewal. That answer does not tell the capacity.

Records still serve to call the workers at once, so that runs keep their leases and nothing is stopped. New work needs a status: those that the other processes have received are forwarded to a new leader at once, and those that only the lost leader had come with the worker's next report, within one interval.

--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -22,7 +22,7 @@
 	// state.
 	lastHeard time.Time
 	// statusSentAt is when the worker has sent its status, at the earliest. It is zero while the status is that of
-	// an earlier incarnation.
+	// an earlier incarnation, or known only from the state.
 	statusSentAt time.Time
 	// lastRenewal is when the worker last answered a renewal.
 	lastRenewal time.Time
--- a/internal/lead/worker_records.go
+++ b/internal/lead/worker_records.go
@@ -9,13 +9,13 @@
 const maxRecordChanges = 64
 
 // loadWorkerRecords loads the workers recorded in the state. Without them, after a restart of
-// all processes, a leader could call a worker only after its next report.
+// all processes, a leader could call a worker only after its next report. How old a record is
+// cannot be told, so a worker's capacity is known only once it has reported.
 func (s *Scheduler) loadWorkerRecords(state *jobs.State) {
 	for id, recorded := range state.Workers() {
 		w := s.worker(id)
 		w.status = *recorded
 		w.recorded = recorded
-		w.statusSentAt = s.termStart
 	}
 }
 
