Test that a forwarded status keeps its age (fails)

Seen by callers: after a change of leader, tasks may be started on a worker that shrank while it could not report, so that they exceed the room that is left.

Cause: when a term begins, every process forwards the statuses that it has received within 30 s to the new leader, which takes them for new. Where the new leader knows no better, it relies on the capacity in them, and takes the worker's clock from them.

The updates to forward come from a function of their own for the test, which changes nothing.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -368,9 +368,21 @@
 
 // forwardAll sends all recent worker statuses to a new leader.
 func (c *Core) forwardAll() {
-	for _, known := range c.workers.recent(time.Now()) {
-		c.forward(WorkerUpdate{Status: known.status})
+	for _, update := range c.recentUpdates(time.Now()) {
+		c.forward(update)
+	}
+}
+
+// recentUpdates returns updates with all recent worker statuses.
+func (c *Core) recentUpdates(now time.Time) []WorkerUpdate {
+	recent := c.workers.recent(now)
+	updates := make([]WorkerUpdate, 0, len(recent))
+
+	for _, known := range recent {
+		updates = append(updates, WorkerUpdate{Status: known.status})
 	}
+
+	return updates
 }
 
 // forward sends an update to the processes that need it. It does nothing before the data folder is open.
--- a/internal/lead/capacity_test.go
+++ b/internal/lead/capacity_test.go
@@ -323,3 +323,15 @@
 	c.plan()
 	assert.Assert(t, c.placed("job"))
 }
+
+// TestForwardedStatusDoesNotHideAnAnswer passes on a status that another process received before the worker answered a
+// renewal, and expects the worker to count as heard since that answer.
+func TestForwardedStatusDoesNotHideAnAnswer(t *testing.T) {
+	c := newCapacityTest(t)
+	c.report(1, 1, 4)
+	c.pass(10 * time.Second)
+	c.answerRenewal(1)
+
+	c.scheduler.Report(c.status(1, 2, 4), c.now.Add(-6*time.Second))
+	assert.Assert(t, c.scheduler.workers["w"].usable(c.now))
+}
