Forward a worker's status with its age

Seen by callers: after a change of leader, tasks could be started on a worker that had shrunk while it could not report, so that they exceeded the room that was left.

Cause: a new leader took the statuses that the other processes forward to it at the start of its term for new, though they may have received them up to 30 s ago.

The update says how long ago the status was received, and counts as received then. A process of the build before sends no age, which reads as none. A status from before the worker's last answer does not set back when it was last heard.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -306,14 +306,15 @@
 	now := time.Now()
 
 	for _, update := range batch.Messages {
-		c.recordUpdate(&update, now)
+		c.recordUpdate(&update, now.Add(-time.Duration(update.AgeMilli)*time.Millisecond))
 	}
 
 	return &drive.Receipt{}, nil
 }
 
-// recordUpdate records an update about a worker, and reports whether it was new.
-func (c *Core) recordUpdate(update *WorkerUpdate, now time.Time) bool {
+// recordUpdate records an update about a worker that a process received at the given time, and reports whether it was
+// new.
+func (c *Core) recordUpdate(update *WorkerUpdate, at time.Time) bool {
 	runner := c.runner.Load()
 
 	if update.Status == nil {
@@ -326,12 +327,12 @@
 		return true
 	}
 
-	if !c.workers.add(update.Status, now) {
+	if !c.workers.add(update.Status, at) {
 		return false
 	}
 
 	if runner != nil {
-		runner.Report(update.Status, now)
+		runner.Report(update.Status, at)
 	}
 
 	return true
@@ -379,7 +380,7 @@
 	updates := make([]WorkerUpdate, 0, len(recent))
 
 	for _, known := range recent {
-		updates = append(updates, WorkerUpdate{Status: known.status})
+		updates = append(updates, WorkerUpdate{Status: known.status, AgeMilli: now.Sub(known.receivedAt).Milliseconds()})
 	}
 
 	return updates
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -103,6 +103,8 @@
 // WorkerUpdate is an update about a worker that a core process forwards to others.
 type WorkerUpdate struct {
 	Status *mill.WorkerStatus `cbor:",omitempty"`
+	// AgeMilli is how long ago the status was received from the worker.
+	AgeMilli int64 `cbor:",omitempty"`
 	// Removed is the id of a worker that shuts down.
 	Removed string `cbor:",omitempty"`
 }
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -183,7 +183,11 @@
 	w.recordCurrent = w.recordCurrent && w.status.SameStableFields(status)
 	w.status = *status
 	w.statusSentAt = w.sentAt(status, at)
-	w.lastHeard = at
+
+	if at.After(w.lastHeard) {
+		w.lastHeard = at // Another process may have received the status before the worker's last answer.
+	}
+
 	w.gone = false
 	w.leavingSince = time.Time{}
 
