Test that a run that the state does not know counts (fails)

Seen by callers: a task is started on a worker beside a run that is being stopped there because the state does not know it, so that both exceed the room.

Cause: such a run takes no capacity in the scheduler's view, neither while it runs nor after its stop was acknowledged, though what is being stopped still counts; and a worker with no other run is not asked again.

One could be left where a worker's announcement that it leaves arrives late, after it has restarted under its id. The test fails.

--- a/internal/lead/capacity_test.go
+++ b/internal/lead/capacity_test.go
@@ -115,12 +115,17 @@
 	}
 }
 
-// answerRenewal has the worker answer a renewal with no runs.
-func (c *capacityTest) answerRenewal(startedMilli int64) {
-	c.scheduler.RenewAnswered(&Renew{To: mill.WorkerRef{ID: "w", Address: "w"}}, &mill.RenewReply{
+// answerRenewal has the worker answer a renewal with the runs that it has.
+func (c *capacityTest) answerRenewal(startedMilli int64, running ...mill.RunRef) {
+	reply := &mill.RenewReply{
 		OrderReply:     mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: 1 + c.now.Sub(simStart).Milliseconds()},
 		StartUnixMilli: startedMilli,
-	}, c.now, c.now)
+	}
+	for _, run := range running {
+		reply.Running = append(reply.Running, mill.RunStatus{RunRef: run})
+	}
+
+	c.scheduler.RenewAnswered(&Renew{To: mill.WorkerRef{ID: "w", Address: "w"}}, reply, c.now, c.now)
 }
 
 // pass lets time pass.
@@ -335,3 +340,31 @@
 	c.scheduler.Report(c.status(1, 2, 4), c.now.Add(-6*time.Second))
 	assert.Assert(t, c.scheduler.workers["w"].usable(c.now))
 }
+
+// TestUnknownRunCounts has a worker list a run that the state does not know and expects that the worker gets no work,
+// because what the run takes is not known, until a list shows that it has been stopped.
+func TestUnknownRunCounts(t *testing.T) {
+	c := newCapacityTest(t)
+	c.report(1, 1, 4)
+
+	unknown := mill.RunRef{Task: mill.StepID{Job: "unknown"}.Task(0), Run: 1}
+	c.answerRenewal(1, unknown)
+	c.submit("job", 2)
+
+	actions := c.plan()
+	assert.Equal(t, len(actions.Stops), 1)
+	assert.Assert(t, !c.placed("job"))
+
+	// The stop is acknowledged, but the run is still stopping.
+	c.scheduler.StopAnswered(&actions.Stops[0], mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: 1}, c.now)
+	c.pass(minRenewInterval)
+
+	actions = c.plan()
+	assert.Equal(t, len(actions.Renews), 1)
+	assert.Equal(t, actions.Renews[0].Order.LeaseExpiryMilli, int64(0))
+	assert.Assert(t, !c.placed("job"))
+
+	c.answerRenewal(1)
+	c.plan()
+	assert.Assert(t, c.placed("job"))
+}
