Give a worker no work while it lists runs that the state does not know

Seen by callers: a task was started on a worker beside a run that was being stopped there because the state did not know it, so that both exceeded the room.

Cause: such a run took no capacity in the scheduler's view, neither while it ran nor after its stop was acknowledged.

What such a run takes is not known, so the capacity that is left counts as not known while the worker's last list has one, and the worker is asked again until it has none. Its lease is not extended for that.

--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -134,10 +134,10 @@
 	return w.usable(now) && s.capacityKnown(w, now) && s.maintenanceOf(w) == nil
 }
 
-// capacityKnown reports whether the worker's status is recent enough to rely on its capacity, which may shrink. Answers
-// to orders do not tell the capacity.
+// capacityKnown reports whether the worker's status is recent enough to rely on its capacity, which may shrink, and
+// what takes it is known. Answers to orders do not tell the capacity.
 func (s *Scheduler) capacityKnown(w *worker, now time.Time) bool {
-	return now.Sub(w.statusSentAt) < s.bounds.statusValidity()
+	return !w.hasUnknownRuns && now.Sub(w.statusSentAt) < s.bounds.statusValidity()
 }
 
 // acceptingWorkers returns the workers with the given ids that accept new work, sorted by id.
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -246,6 +246,7 @@
 // belong there.
 func (s *Scheduler) readRunning(w *worker, statuses []mill.RunStatus, now time.Time) map[mill.TaskID]bool {
 	listed := make(map[mill.TaskID]bool, len(statuses))
+	w.hasUnknownRuns = false
 
 	for i := range statuses {
 		status := &statuses[i]
@@ -275,6 +276,8 @@
 		return // The run is being placed on this worker, so it is no orphan.
 	}
 
+	w.hasUnknownRuns = true
+
 	if _, known := s.orphans[status.RunRef]; !known {
 		s.orphans[status.RunRef] = orphan{worker: w}
 	}
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -63,6 +63,9 @@
 	// not answered this leader yet.
 	mayHoldInherited bool
 	renewing         bool
+	// hasUnknownRuns says that the worker's last list had runs that the state does not know, so that its free
+	// capacity is not known.
+	hasUnknownRuns bool
 	// uncommittedFinishes counts the finished runs that are not committed yet.
 	uncommittedFinishes int
 	nextRenewal         time.Time
