--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -215,6 +215,8 @@
 	if reply.StartUnixMilli != 0 && w.status.StartUnixMilli != 0 && reply.StartUnixMilli != w.status.StartUnixMilli {
 		s.workerRestarted(w, reply.ClockMilli, now)
 		w.status.StartUnixMilli = reply.StartUnixMilli
+		w.statusSentAt = time.Time{}
+		w.status.Sequence = 0 // The new incarnation numbers its reports from the start again.
 		w.recordCurrent = false
 	}
 
@@ -258,6 +260,7 @@
 // belong there.
 func (s *Scheduler) readRunning(w *worker, statuses []mill.RunStatus, now time.Time) map[mill.TaskID]bool {
 	listed := make(map[mill.TaskID]bool, len(statuses))
+	w.hasUnknownRuns = false
 
 	for i := range statuses {
 		status := &statuses[i]
@@ -289,6 +292,8 @@
 		return // The run is being placed on this worker, so it is no orphan.
 	}
 
+	w.hasUnknownRuns = true
+
 	if _, known := s.orphans[status.RunRef]; !known {
 		s.orphans[status.RunRef] = orphan{worker: w}
 	}
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -184,11 +184,16 @@
 
 	w.recordCurrent = w.recordCurrent && w.status.SameStableFields(status)
 	w.status = *status
-	w.lastHeard = at
+	w.statusSentAt = w.sentAt(status, at)
+
+	if at.After(w.lastHeard) {
+		w.lastHeard = at // Another process may have received the status before the worker's last answer.
+	}
+
 	w.gone = false
 	w.leavingSince = time.Time{}
 
-	if !w.clock.known() || at.Sub(w.clock.observedAt) > time.Second {
+	if w.clock.outdated(status.ClockMilli, at) {
 		w.clock.observe(status.ClockMilli, at)
 	}
 
@@ -248,6 +253,7 @@
 
 	s.expireRuns(now)
 	s.stopUnwanted(state)
+	s.withdrawStarts(now)
 
 	actions.Commands = s.finishCommands(now)
 	candidates := s.candidates(wallMilli, state)
