Say that a job does not exist only as a confirmed leader

Cause: a leader that was frozen or cut off goes on answering from its own state until it notices the loss of its quorum, up to 550 ms. A job that the next leader has accepted meanwhile is not in it.

Fix: a process commits an empty entry before it says that it does not know a job, as it does for reads of the setup. Known jobs are answered as before: their final states do not change.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -120,12 +121,28 @@
 	return id, queue, known
 }
 
-// withJob calls read with the job of a request, or returns ErrNoQueue or ErrNotFound.
-func (c *Core) withJob(request *JobRequest, read func(job *jobs.Job)) error {
+// withJob calls read with the job of a request, or returns ErrNoQueue or ErrNotFound. Only a confirmed leader says that
+// there is no such job.
+func (c *Core) withJob(ctx context.Context, request *JobRequest, read func(job *jobs.Job)) error {
 	if err := c.checkLeading(); err != nil {
 		return err
 	}
 
+	err := c.readJob(request, read)
+	if !errors.Is(err, mill.ErrNotFound) {
+		return err
+	}
+
+	// A later leader may have accepted the job.
+	if unconfirmed := c.confirmLeadership(ctx); unconfirmed != nil {
+		return unconfirmed
+	}
+
+	return err
+}
+
+// readJob calls a function with the job that a request names, as this process knows it.
+func (c *Core) readJob(request *JobRequest, read func(job *jobs.Job)) error {
 	var err error
 
 	c.stateMachine.view(func(state *jobs.State) {
@@ -155,9 +172,9 @@
 	return err
 }
 
-func (c *Core) state(_ context.Context, request *JobRequest) (*StateReply, error) {
+func (c *Core) state(ctx context.Context, request *JobRequest) (*StateReply, error) {
 	reply := &StateReply{}
-	err := c.withJob(request, func(job *jobs.Job) { reply.State = job.State() })
+	err := c.withJob(ctx, request, func(job *jobs.Job) { reply.State = job.State() })
 
 	return reply, err
 }
@@ -167,7 +184,7 @@
 
 	reply := &StateReply{}
 
-	err := c.withJob(request, func(job *jobs.Job) { id, reply.State = job.ID, job.State() })
+	err := c.withJob(ctx, request, func(job *jobs.Job) { id, reply.State = job.ID, job.State() })
 	if err != nil || reply.State.Final() {
 		return reply, err
 	}
--- a/internal/core/cancel_test.go
+++ b/internal/core/cancel_test.go
@@ -69,3 +69,23 @@
 		return err
 	})
 }
+
+// TestUnknownJobNeedsConfirmedLeader asks for a job that the remaining process does not know, right after it has lost the
+// others. They may have accepted the job since, so that neither the answer nor a cancellation may say that there is none.
+func TestUnknownJobNeedsConfirmedLeader(t *testing.T) {
+	cluster := newTestCluster(t)
+	cluster.configure(0, 1)
+	cluster.submit("first", &mill.Workload{Spec: "first", Steps: []mill.Step{{Count: 1, Estimate: time.Second}}})
+
+	cluster.stop(1)
+	cluster.eventually("lead", func() error {
+		_, err := cluster.front.State(callContext(), "h", "/q/first")
+
+		return err
+	})
+	cluster.stop(2)
+
+	_, err := cluster.front.State(callContext(), "h", "/q/none")
+	assert.Assert(t, !errors.Is(err, mill.ErrNotFound), err)
+	assert.Assert(t, !errors.Is(cluster.front.Cancel(callContext(), "h", "/q/none"), mill.ErrNotFound))
+}
