--- a/internal/lead/cancel_test.go
+++ b/internal/lead/cancel_test.go
@@ -81,8 +81,15 @@
 		step.Checkpointing = rapid.Bool().Draw(t, "checkpointing")
 	}
 
+	work := mill.Workload{Steps: []mill.Step{step}}
+	if !step.LongRunning && rapid.IntRange(0, 3).Draw(t, "repeat") == 0 {
+		work.Repeat = mill.Repeat{Times: 3, FirstUnixMilli: d.sim.now.UnixMilli(), Interval: 2 * time.Second}
+	}
+
 	d.jobs++
-	d.sim.submit(d.id(d.jobs), rapid.SampledFrom([]string{"free", "advised"}).Draw(t, "queue"), longerThanTest, step)
+	id := d.id(d.jobs)
+	work.Spec = id
+	d.sim.submitWork(id, rapid.SampledFrom([]string{"free", "advised"}).Draw(t, "queue"), longerThanTest, work)
 }
 
 // toggleSilence loses a worker's reports or the orders to it, or ends that.
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -391,7 +391,10 @@
 }
 
 func (sim *simulation) submit(id, queue string, duration time.Duration, steps ...mill.Step) {
-	work := mill.Workload{Spec: id, Steps: steps}
+	sim.submitWork(id, queue, duration, mill.Workload{Spec: id, Steps: steps})
+}
+
+func (sim *simulation) submitWork(id, queue string, duration time.Duration, work mill.Workload) {
 	for i := range work.Steps {
 		work.Steps[i].Estimate = duration
 	}
