Change the capacity of workers in the random histories, with lost and late reports

TestFuzzScheduler resizes executors and loses or delays their reports beside its other faults, and TestFuzzCapacity does so with cut networks, restarts and changes of leader alone.

--- a/internal/lead/capacity_test.go
+++ b/internal/lead/capacity_test.go
@@ -15,8 +15,9 @@
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
-// TestFuzzCapacity runs random jobs on executors whose capacity shrinks and grows while they run, and expects all work
-// to finish once it has grown again.
+// TestFuzzCapacity runs random jobs on executors whose capacity shrinks and grows while they run, whose reports are
+// lost or late, which are disconnected and restart, and which new leaders know only from the log. It expects all work
+// to finish once the capacity has grown again.
 func TestFuzzCapacity(t *testing.T) {
 	seeds.SetChecks(t, 200)
 
@@ -31,8 +32,10 @@
 			"cancel": draw.cancel,
 			"pass":   draw.advance,
 			"resize": draw.resize,
-			"sick":   draw.toggleFault,
-			"faults": draw.faults,
+			"lead":   func(*rapid.T) { sim.withoutReports = sim.flip("deaf"); sim.newLeader() },
+			"cut":    draw.toggleNetwork,
+			"reborn": draw.restart,
+			"report": draw.reportFaults,
 		})
 
 		sim.recoverAndCheck(60 * time.Second)
--- a/internal/lead/fuzz_test.go
+++ b/internal/lead/fuzz_test.go
@@ -12,9 +12,9 @@
 )
 
 // TestFuzzScheduler runs random jobs of all kinds through random faults: workers that crash, are
-// disconnected, restart under the same id, fail or hang; orders that are lost or delayed; and
-// changes of leader. It checks each start against the invariants, and expects all work to finish
-// once the faults cease.
+// disconnected, restart under the same id, fail or hang, and whose capacity changes; orders and
+// reports that are lost or delayed; and changes of leader. It checks each start against the
+// invariants, and expects all work to finish once the faults cease.
 func TestFuzzScheduler(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t, t, 6)
@@ -33,6 +33,7 @@
 			"reborn": draw.restart,
 			"sick":   draw.toggleFault,
 			"faults": draw.faults,
+			"resize": draw.resize,
 		})
 
 		sim.recoverAndCheck(90 * time.Second)
@@ -175,12 +176,22 @@
 	e.resize(next)
 }
 
+// reportFaults changes the faults of reports alone.
+func (d *actionDrawer) reportFaults(t *rapid.T) {
+	d.sim.faults = faults{
+		lostReport: rapid.SampledFrom([]int{0, 0, 40, 100}).Draw(t, "lostReport"),
+		lateReport: rapid.SampledFrom([]int{0, 0, 40, 100}).Draw(t, "lateReport"),
+	}
+}
+
 func (d *actionDrawer) faults(t *rapid.T) {
 	d.sim.faults = faults{
 		lostOrder:  rapid.SampledFrom([]int{0, 0, 10, 40}).Draw(t, "lostOrder"),
 		unsent:     rapid.SampledFrom([]int{0, 0, 10, 40}).Draw(t, "unsent"),
 		lostAnswer: rapid.SampledFrom([]int{0, 0, 10, 40}).Draw(t, "lostAnswer"),
 		late:       rapid.SampledFrom([]int{0, 0, 10, 30}).Draw(t, "late"),
+		lostReport: rapid.SampledFrom([]int{0, 0, 40, 100}).Draw(t, "lostReport"),
+		lateReport: rapid.SampledFrom([]int{0, 0, 40, 100}).Draw(t, "lateReport"),
 	}
 }
 
