Test crashes that are not counted, and one that is counted wrongly (fails)

Seen by callers: a task crashes worker after worker without limit (BUDGET) where the answer to its start is lost, where the workers do not come back within the lease, or where it crashes them half a second after its start; and a job is shown as failed though no worker has crashed under it (LOST), where a worker finishes its task and crashes before the leader has read that, twice.

Cause: only a run whose start was accepted or listed, and whose worker is known to have been replaced, is suspected; a run that is listed 200 ms after its start clears its task; and a run that has ended unread counts as active.

--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -255,7 +255,7 @@
 	e.sim.checkCapacity(e, order.Task, late)
 
 	if e.sim.crashingTasks[order.Task] {
-		e.sim.after(simStep, func() {
+		e.sim.after(max(simStep, e.sim.crashDelay), func() {
 			if e.running[order.Task] == a {
 				e.crashUnder(order.Task)
 			}
@@ -279,6 +279,10 @@
 	e.sim.crashes[task]++
 	e.crash()
 
+	if e.sim.staysAway {
+		return
+	}
+
 	e.sim.after(simCrashTime, func() {
 		if e.up {
 			return
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -91,6 +91,11 @@
 	crashes            map[mill.TaskID]int
 	startsAfterCrashes map[mill.TaskID]int
 	losses             map[mill.TaskID]int
+	// crashDelay is how long after its start a crashing task crashes its executor. crashesUnanswered loses the answers that
+	// are on their way when an executor crashes, and staysAway says that executors do not come back.
+	crashDelay        time.Duration
+	crashesUnanswered bool
+	staysAway         bool
 	// failingJobs holds the jobs whose tasks always fail.
 	failingJobs map[string]bool
 	// faultless says that the test injects no faults.
--- a/internal/lead/transport_test.go
+++ b/internal/lead/transport_test.go
@@ -52,8 +52,8 @@
 
 			carryOut(e, false)
 			sim.after(delay, func() {
-				// A reply on its way arrives though its sender has crashed.
-				if e.disconnected || e.mute {
+				// A reply on its way arrives though its sender has crashed, unless the test says otherwise.
+				if e.disconnected || e.mute || sim.crashesUnanswered && !e.up {
 					answer(mill.OutcomeUnanswered)
 				} else {
 					answer(mill.OutcomeAccepted)
