Say that a queue does not exist only as a confirmed leader

What callers could see: a cancellation, a count or a submission answered 404 for a queue that a newer setup has (CONFIG, within the time that a new setup may take; and the end of a cancellation). What is looked up is also read again after the confirmation.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -71,11 +71,25 @@
 		return nil, merry.Prepend(mill.ErrNotPrimary, "the request is for another term", merry.NoCaptureStack())
 	}
 
-	id, queue, known := c.resolveSubmission(request)
+	var (
+		id, queue string
+		known     bool
+	)
+
+	err := c.lookUp(ctx, func() error {
+		id, queue, known = c.resolveSubmission(request)
+		if queue == "" {
+			return merry.Prepend(mill.ErrNoQueue, request.Path, merry.NoCaptureStack())
+		}
+
+		return nil
+	})
 
 	switch {
-	case queue == "":
+	case errors.Is(err, mill.ErrNoQueue):
 		return &SubmitReply{Receipt: mill.Receipt{Verdict: mill.VerdictNoQueue}}, nil
+	case err != nil:
+		return nil, err
 	case known:
 		return &SubmitReply{Receipt: mill.Receipt{Verdict: mill.VerdictAccepted}}, nil
 	default:
@@ -121,24 +135,28 @@
 	return id, queue, known
 }
 
-// withJob calls read with the job of a request, or returns ErrNoQueue or ErrNotFound. Only a confirmed leader says that
-// there is no such job.
+// withJob calls read with the job of a request, or returns ErrNoQueue or ErrNotFound.
 func (c *Core) withJob(ctx context.Context, request *JobRequest, read func(job *jobs.Job)) error {
+	return c.lookUp(ctx, func() error { return c.readJob(request, read) })
+}
+
+// lookUp returns the result of looking something up in the state. Only a confirmed leader says that there is no such
+// thing: a later one may have accepted it.
+func (c *Core) lookUp(ctx context.Context, find func() error) error {
 	if err := c.checkLeading(); err != nil {
 		return err
 	}
 
-	err := c.readJob(request, read)
-	if !errors.Is(err, mill.ErrNotFound) {
+	err := find()
+	if !errors.Is(err, mill.ErrNotFound) && !errors.Is(err, mill.ErrNoQueue) {
 		return err
 	}
 
-	// A later leader may have accepted the job.
 	if unconfirmed := c.confirmLeadership(ctx); unconfirmed != nil {
 		return unconfirmed
 	}
 
-	return err
+	return find()
 }
 
 // readJob calls a function with the job that a request names, as this process knows it.
@@ -198,14 +216,15 @@
 	return &StateReply{State: mill.JobCanceled}, nil
 }
 
-func (c *Core) pending(_ context.Context, request *JobRequest) (*PendingReply, error) {
-	if err := c.checkLeading(); err != nil {
-		return nil, err
-	}
+func (c *Core) pending(ctx context.Context, request *JobRequest) (*PendingReply, error) {
+	reply := &PendingReply{}
+	err := c.lookUp(ctx, func() error { return c.countPending(request, reply) })
 
-	var err error
+	return reply, err
+}
 
-	reply := &PendingReply{}
+func (c *Core) countPending(request *JobRequest, reply *PendingReply) error {
+	var err error
 
 	c.stateMachine.view(func(state *jobs.State) {
 		if state.Setup() == nil {
@@ -224,7 +243,7 @@
 		reply.Pending = state.Pending(queue.Name)
 	})
 
-	return reply, err
+	return err
 }
 
 func (c *Core) configure(ctx context.Context, setup *mill.Setup) (*ConfigureReply, error) {
