Answer a doubtful submission as unknown though the queue is gone

What callers could see: 404, which says that a job never runs, for a submission of which an earlier attempt may have been accepted (REFUSED).

Cause: only a refusal was turned into "unknown" after a doubtful attempt, not the answer that there is no such queue, which a later setup may have removed meanwhile.

Evidence: TestDoubtfulSubmissionIsNotRejected failed before (review) and passes.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -119,7 +119,7 @@
 		return mill.Receipt{Verdict: mill.VerdictUnknown, Reason: err.Error()}
 	case err != nil:
 		return mill.Receipt{Verdict: mill.VerdictRefused, Reason: err.Error(), RetryAfter: plan.RetryAfterOutage()}
-	case ambiguous && reply.Receipt.Verdict == mill.VerdictRefused:
+	case ambiguous && reply.Receipt.Verdict != mill.VerdictAccepted:
 		return mill.Receipt{Verdict: mill.VerdictUnknown, Reason: reply.Receipt.Reason}
 	default:
 		return reply.Receipt
