Let the leader decide when a job is given up, and plan suspected tasks cheaply

The threshold was applied where entries of the log are applied, so a later change of it would make replicas of two builds differ; the decision is now part of the command.

--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -52,9 +52,10 @@
 	Cause      mill.FinishCause `cbor:"3,keyasint"`
 	Checkpoint string           `cbor:"4,keyasint,omitempty"`
 	// Suspicion is how strongly the run is suspected of having crashed its worker. Cleared means that the run was seen
-	// at work, so that the earlier suspicion of its task was wrong.
+	// at work, so that the earlier suspicion of its task was wrong. GivesUp means that the job fails because of it.
 	Suspicion int  `cbor:"5,keyasint,omitempty"`
 	Cleared   bool `cbor:"6,keyasint,omitempty"`
+	GivesUp   bool `cbor:"7,keyasint,omitempty"`
 }
 
 // SettleMachine marks one machine of a wave as settled.
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -322,8 +321,8 @@
 	}
 }
 
-// updateSuspicion records whether a finished run is suspected of having crashed its worker, and gives up a job with a
-// task that goes on to crash its workers.
+// updateSuspicion records whether a finished run is suspected of having crashed its worker, and gives the job up if the
+// leader has decided so.
 func (s *State) updateSuspicion(job *Job, finished *Finish, task *Task) {
 	if finished.Cleared {
 		task.Suspicion = 0
@@ -331,7 +330,7 @@
 
 	task.Suspicion += finished.Suspicion
 
-	if !job.Finished() && plan.GivesUp(task.Suspicion) {
+	if !job.Finished() && finished.GivesUp {
 		s.finishJob(job, mill.JobFailed)
 	}
 }
--- a/internal/jobs/state_test.go
+++ b/internal/jobs/state_test.go
@@ -38,6 +38,11 @@
 	soleCrashes   int
 }
 
+// suspicion returns what the leader makes of these crashes.
+func (r *taskRecord) suspicion() int {
+	return r.sharedCrashes*plan.CrashSuspicion(2) + r.soleCrashes*plan.CrashSuspicion(1)
+}
+
 // givenUp reports whether the task has crashed its workers too often: three times, or twice with one crash that no other
 // task can have caused.
 func (r *taskRecord) givenUp() bool {
@@ -193,6 +198,7 @@
 	if cause == mill.FinishWorkerCrashed && !finish.Cleared {
 		suspects = rapid.IntRange(1, 3).Draw(t, "suspects")
 		finish.Suspicion = plan.CrashSuspicion(suspects)
+		finish.GivesUp = plan.GivesUp(record.suspicion() + finish.Suspicion)
 	}
 
 	result := o.state.Apply(&Command{Finish: finish})
--- a/internal/lead/crash.go
+++ b/internal/lead/crash.go
@@ -74,13 +74,18 @@
 // suspicionDetail describes the evidence against a run for the log.
 func suspicionDetail(r *run) string {
 	detail := fmt.Sprintf("one of %d, suspicion %d+%d", r.suspects, r.earlierSuspicion, r.suspicion)
-	if plan.GivesUp(r.earlierSuspicion + r.suspicion) {
+	if r.givesUp() {
 		return detail + ", job given up"
 	}
 
 	return detail
 }
 
+// givesUp reports whether the job is given up because the run is suspected once more.
+func (r *run) givesUp() bool {
+	return r.suspicion > 0 && plan.GivesUp(r.earlierSuspicion+r.suspicion)
+}
+
 // proveRun marks a run that its worker lists as proven, once it has run for crashTime.
 func (s *Scheduler) proveRun(r *run, now time.Time) {
 	if r.proven || r.worker.runs[r.task] != r || r.startedAt.IsZero() || now.Sub(r.startedAt) < crashTime {
@@ -132,16 +137,17 @@
 }
 
 // isolate returns a filter for the workers of a suspected step: those on which no other run can cause a crash, so that
-// the next crash proves what the task does, and few enough of them that other work goes on. After maxAvoidTime the step
-// no longer waits for such a worker.
+// the next crash proves what the task does. After maxAvoidTime the step no longer waits for such a worker.
 func (s *Scheduler) isolate(c *candidate, p *pass) func(w *worker) bool {
 	c.isolated = c.suspected && p.now.Sub(s.waitingSince(c.id.Task(c.waiting[0]), p.now)) <= maxAvoidTime
 	if !c.isolated {
 		return nil
 	}
 
-	pool := p.pool(c)
-	mayIsolate := pool.isolatingWorkers < plan.MaxIsolatingWorkers(len(pool.workers))
+	return func(w *worker) bool { return w.unprovenRuns == 0 }
+}
 
-	return func(w *worker) bool { return mayIsolate && w.unprovenRuns == 0 }
+// mayIsolate reports whether one more worker of the pool may be kept for a suspected task.
+func (p *pool) mayIsolate() bool {
+	return p.isolatingWorkers < plan.MaxIsolatingWorkers(len(p.workers))
 }
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -49,7 +49,12 @@
 
 // placeStep places as many of a step's waiting tasks as fit, or a gang's only all together.
 func (s *Scheduler) placeStep(c *candidate, p *pass) []jobs.Command {
-	described, workers := s.eligibleWorkers(c, s.ticketHolders(c, p), s.isolate(c, p))
+	filter := s.isolate(c, p)
+	if c.isolated && !p.pool(c).mayIsolate() {
+		return nil
+	}
+
+	described, workers := s.eligibleWorkers(c, s.ticketHolders(c, p), filter)
 	chosen := plan.PlaceTasks(described, c.demand(), len(c.waiting), s.placer,
 		s.avoidFailedWorkers(c, p.pool(c).workers, p.now))
 	if c.step.Gang && len(chosen) < len(c.waiting) {
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -367,6 +367,7 @@
 			Checkpoint: f.run.checkpoint,
 			Suspicion:  f.run.suspicion,
 			Cleared:    f.run.earlierSuspicion > 0 && f.run.proven,
+			GivesUp:    f.run.givesUp(),
 		}})
 	}
 
