--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -234,10 +234,29 @@
 
 	assert.Equal(t, (<-replies).Outcome, mill.OutcomeUnanswered)
 
+	// The relay may have answered the order while it stopped, so that its silence begins only then.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !leader.sender.relays(other.address) {
+			return poll.Success()
+		}
+
+		return poll.Continue("the relay is still in use")
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(time.Millisecond))
+
 	reply := leader.sender.Start(orderContext(t), testWorker, &mill.StartOrder{Task: testRun(1).Task, Run: 1})
 	assert.DeepEqual(t, reply, mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: 1})
 }
 
+// relays reports whether orders go through the relay at an address.
+func (s *Sender) relays(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	p, ok := s.peers[address]
+
+	return ok && p.lost != nil
+}
+
 // TestSuspendedRelay delivers an order that was sent before the relay was suspended for a second, and expects the
 // relay not to carry it out, and the sender to call the worker directly.
 func TestSuspendedRelay(t *testing.T) {
