--- a/internal/core/cancel_test.go
+++ b/internal/core/cancel_test.go
@@ -70,9 +70,10 @@
 	})
 }
 
-// TestUnknownJobNeedsConfirmedLeader asks for a job that the remaining process does not know, right after it has lost the
-// others. They may have accepted the job since, so that neither the answer nor a cancellation may say that there is none.
-func TestUnknownJobNeedsConfirmedLeader(t *testing.T) {
+// newCutOffLeader returns a cluster whose remaining process has just lost the others, and has accepted a job before.
+func newCutOffLeader(t *testing.T) *testCluster {
+	t.Helper()
+
 	cluster := newTestCluster(t)
 	cluster.configure(0, 1)
 	cluster.submit("first", &mill.Workload{Spec: "first", Steps: []mill.Step{{Count: 1, Estimate: time.Second}}})
@@ -85,6 +86,14 @@
 	})
 	cluster.stop(2)
 
+	return cluster
+}
+
+// TestUnknownJobNeedsConfirmedLeader asks for a job that the remaining process does not know, right after it has lost the
+// others. They may have accepted the job since, so that neither the answer nor a cancellation may say that there is none.
+func TestUnknownJobNeedsConfirmedLeader(t *testing.T) {
+	cluster := newCutOffLeader(t)
+
 	_, err := cluster.front.State(callContext(), "h", "/q/none")
 	assert.Assert(t, !errors.Is(err, mill.ErrNotFound), err)
 	assert.Assert(t, !errors.Is(cluster.front.Cancel(callContext(), "h", "/q/none"), mill.ErrNotFound))
--- a/internal/core/cancel_review_test.go
+++ b/internal/core/unknown_queue_test.go
@@ -30,17 +30,7 @@
 // TestUnknownQueueNeedsConfirmedLeader asks for a queue that the remaining process does not know, right after it has lost
 // the others. They may have accepted a setup with that queue since, so that no answer may say that there is none.
 func TestUnknownQueueNeedsConfirmedLeader(t *testing.T) {
-	cluster := newTestCluster(t)
-	cluster.configure(0, 1)
-	cluster.submit("first", &mill.Workload{Spec: "first", Steps: []mill.Step{{Count: 1, Estimate: time.Second}}})
-
-	cluster.stop(1)
-	cluster.eventually("lead", func() error {
-		_, err := cluster.front.State(callContext(), "h", "/q/first")
-
-		return err
-	})
-	cluster.stop(2)
+	cluster := newCutOffLeader(t)
 
 	assert.Assert(t, !errors.Is(cluster.front.Cancel(callContext(), "h", "/new/first"), mill.ErrNoQueue))
 
