--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -67,7 +67,11 @@
 	updates      *ring.Ring[func(now time.Time)]
 	context      context.Context
 	summarizedAt time.Time
-	metrics      metrics
+	// plans counts the plans since the last summary, and planTime and longestPlan are their total and longest duration.
+	plans       int
+	planTime    time.Duration
+	longestPlan time.Duration
+	metrics     metrics
 }
 
 // NewRunner returns a runner for a term; canceling its context ends the term.
@@ -116,7 +120,7 @@
 		r.dependencies.View(func(state *jobs.State) {
 			actions = r.scheduler.Next(now, wallMilli, state)
 		})
-		r.metrics.plan.RecordDuration(time.Since(now))
+		r.recordPlan(time.Since(now))
 		r.perform(&actions)
 		r.logEvents()
 		r.logSummary(now)
@@ -124,6 +128,14 @@
 	}
 }
 
+func (r *Runner) recordPlan(took time.Duration) {
+	r.metrics.plan.RecordDuration(took)
+
+	r.plans++
+	r.planTime += took
+	r.longestPlan = max(r.longestPlan, took)
+}
+
 // restAfter returns the pause after a plan that took the given time.
 func restAfter(took time.Duration) time.Duration {
 	return max(minPlanInterval, min(spacedPlanFactor*took, spacedPlanInterval), planRestFactor*took)
@@ -326,8 +338,11 @@
 		log.Info().Int("open", s.OpenJobs).Int("waitingSteps", s.WaitingSteps).Int("asking", s.PendingAdvice).Int("runs", s.Runs).
 			Int("doubtful", s.Doubtful).Int("workers", s.Workers).Int("usable", s.UsableWorkers).
 			Int("unknownCapacity", s.UnknownCapacity).Int("callers", s.AdvisorAddresses).Int("busyCallers", s.BusyAddresses).
+			Int("plans", r.plans).Dur("planTime", r.planTime).Dur("longestPlan", r.longestPlan).
 			Msg("scheduler status")
 	})
+
+	r.plans, r.planTime, r.longestPlan = 0, 0, 0
 }
 
 func (r *Runner) logEvents() {
