--- a/internal/lead/advice_requests.go
+++ b/internal/lead/advice_requests.go
@@ -132,6 +132,8 @@
 func (s *Scheduler) compatibleWorkers(c *candidate, now time.Time) []*worker {
 	var found []*worker
 
+	s.examinedWorkers += len(s.workers)
+
 	for _, w := range s.workersByID() {
 		if c.compatible(w) && w.usable(now) {
 			found = append(found, w)
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -120,6 +120,7 @@
 ) (described []plan.CandidateWorker, eligible []*worker) {
 	described, eligible = s.describedBuffer[:0], s.eligibleBuffer[:0]
 	perTask := c.step.Reserves()
+	s.examinedWorkers += len(workers)
 
 	for _, w := range workers {
 		if w.isolatingRuns == 0 && perTask.Fits(w.unreserved()) && c.compatible(w) && (filter == nil || filter(w)) {
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -115,6 +115,8 @@
 func (s *Scheduler) pools(now time.Time) map[string]*pool {
 	pools := make(map[string]*pool)
 
+	s.examinedWorkers += len(s.workers)
+
 	for _, w := range s.workersByID() {
 		if !s.acceptsWork(w, now) {
 			continue
@@ -149,6 +151,7 @@
 // acceptingWorkers returns the workers with the given ids that accept new work, sorted by id.
 func (s *Scheduler) acceptingWorkers(ids []string, now time.Time) []*worker {
 	found := make([]*worker, 0, len(ids))
+	s.examinedWorkers += len(ids)
 
 	for _, id := range ids {
 		if w, ok := s.workers[id]; ok && s.acceptsWork(w, now) {
--- a/internal/lead/preempt.go
+++ b/internal/lead/preempt.go
@@ -76,6 +76,8 @@
 func (s *Scheduler) earliestReservations(c *candidate, p *pass, pool []*worker, count int) []reservation {
 	var found []reservation
 
+	s.examinedWorkers += len(pool)
+
 	for _, w := range pool {
 		if w.reserved == (mill.Resources{}) && s.mayReserve(c, w) {
 			found = append(found, s.newReservation(c, w, p))
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -55,8 +55,10 @@
 	eligibleBuffer  []*worker
 	// runningBuffer is reused by newReservation.
 	runningBuffer []plan.RunningTask
-	// waitingSteps counts the steps that had unplaced tasks after the last plan.
-	waitingSteps int
+	// waitingSteps counts the steps that had unplaced tasks after the last plan, and examinedWorkers how often it looked at
+	// a worker for one of them: the part of a plan's cost that grows with the backlog and with the pools.
+	waitingSteps    int
+	examinedWorkers int
 }
 
 // advisorAddress is the address of a process that forwards requests to the advisor, one at a time.
@@ -251,6 +253,7 @@
 func (s *Scheduler) Next(now time.Time, wallMilli int64, state *jobs.State) Actions {
 	var actions Actions
 
+	s.examinedWorkers = 0
 	s.expireRuns(now)
 	s.stopUnwanted(state)
 	s.withdrawStarts(now)
--- a/internal/lead/summary.go
+++ b/internal/lead/summary.go
@@ -14,6 +14,8 @@
 	OpenJobs      int
 	WaitingSteps  int
 	PendingAdvice int
+	// ExaminedWorkers is how often the last plan looked at a worker for a step.
+	ExaminedWorkers int
 	// Runs counts the runs that may be active or are being placed, and Doubtful those that may or
 	// may not have started.
 	Runs     int
@@ -46,8 +48,10 @@
 	summary := Summary{
 		OpenJobs:     len(state.OpenJobs()),
 		WaitingSteps: s.waitingSteps,
-		Runs:         len(s.runs),
-		Workers:      len(s.workers),
+
+		ExaminedWorkers: s.examinedWorkers,
+		Runs:            len(s.runs),
+		Workers:         len(s.workers),
 	}
 
 	for _, a := range s.advice {
