--- /dev/null
+++ b/internal/lead/load_simulation_test.go
@@ -0,0 +1,503 @@
+package lead
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/place"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// The simulated deployment: how long a commit, an order on its way, and the way to the advisor and back take, how often a
+// worker reports, and through how many addresses the advisor can be asked.
+const (
+	loadCommitTime     = 26 * time.Millisecond
+	loadOrderTime      = 12 * time.Millisecond
+	loadAdviceTime     = 20 * time.Millisecond
+	loadStopTime       = 200 * time.Millisecond
+	loadReportInterval = 1500 * time.Millisecond
+	loadAddresses      = 153
+)
+
+// A simulated plan takes loadPlanTime, and loadWorkerTime for each time that it looks at a worker. The large deployment's
+// leader measures these, with one processor for all that it does.
+const (
+	loadPlanTime   = 3 * time.Millisecond
+	loadWorkerTime = 100 * time.Nanosecond
+)
+
+// loadEvent is a function to call at a time; number orders the events of one time.
+type loadEvent struct {
+	at     time.Time
+	number int
+	do     func()
+}
+
+// loadEvents is a heap of events, the earliest first.
+type loadEvents []loadEvent
+
+func (e *loadEvents) Len() int { return len(*e) }
+
+func (e *loadEvents) Less(i, j int) bool {
+	a, b := &(*e)[i], &(*e)[j]
+
+	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.number, b.number)) < 0
+}
+
+func (e *loadEvents) Swap(i, j int) { (*e)[i], (*e)[j] = (*e)[j], (*e)[i] }
+
+func (e *loadEvents) Push(value any) { *e = append(*e, value.(loadEvent)) }
+
+func (e *loadEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+
+	return last
+}
+
+// loadQueue is a queue with the jobs that arrive on it.
+type loadQueue struct {
+	mill.Queue
+
+	perSecond float64
+	// steps and width are the mean number of steps, and of tasks in each.
+	steps, width float64
+	runTime      time.Duration
+	perTask      mill.Resources
+	gang         bool
+	// stays is how long a long-running job runs; 0 for others.
+	stays time.Duration
+	// allowedPercent of the workers get a ticket.
+	allowedPercent uint32
+	// estimateError is by which share the estimated run times are off.
+	estimateError float64
+	// inTime and late count the jobs that completed within their objective and after it.
+	inTime, late int
+}
+
+// loadQueues returns the queues of the large deployment.
+func loadQueues() []*loadQueue {
+	advice := func(decide, perWorker time.Duration) *mill.AdvicePolicy {
+		return &mill.AdvicePolicy{Decide: decide, PerWorker: perWorker, Validity: 2 * time.Second}
+	}
+
+	return []*loadQueue{
+		{
+			Queue: mill.Queue{
+				Name: "lookup", Service: "small", MaxAttempts: 3, Stretch: 1.5, Objective: 300 * time.Millisecond,
+				Advice: advice(23*time.Millisecond, 330*time.Microsecond),
+			},
+			perSecond: 45.3, steps: 1.5, width: 13, runTime: 880 * time.Millisecond, allowedPercent: 70, estimateError: 0.2,
+			perTask: mill.Resources{MilliCores: 4200, MemoryMiB: 12000},
+		},
+		{
+			Queue: mill.Queue{
+				Name: "contract", Service: "small", Priority: 2, MaxAttempts: 4, Stretch: 4, Objective: 3 * time.Second,
+				Advice: advice(140*time.Millisecond, 2*time.Millisecond),
+			},
+			perSecond: 4.18, steps: 2, width: 36, runTime: 4500 * time.Millisecond, allowedPercent: 45, estimateError: 0.9,
+			perTask: mill.Resources{MilliCores: 4500, MemoryMiB: 17000},
+		},
+		{
+			Queue: mill.Queue{
+				Name: "scan", Service: "large", Priority: 1, MaxAttempts: 3, Stretch: 2.2, Objective: 1200 * time.Millisecond,
+				Advice: advice(490*time.Millisecond, 7*time.Millisecond),
+			},
+			perSecond: 7.98, steps: 1, width: 8, runTime: 3600 * time.Millisecond, gang: true, allowedPercent: 30, estimateError: 0.9,
+			perTask: mill.Resources{MilliCores: 31000, MemoryMiB: 90000, Accelerators: 4},
+		},
+		{
+			Queue: mill.Queue{
+				Name: "watch", Service: "small", Priority: 1, MaxAttempts: 4, Stretch: 2.2, Objective: 2500 * time.Millisecond,
+				Advice: advice(420*time.Millisecond, 6*time.Millisecond),
+			},
+			perSecond: 0.349, steps: 1, width: 30, runTime: 500 * time.Millisecond, stays: 25 * time.Second, allowedPercent: 30,
+			perTask: mill.Resources{MilliCores: 4500, MemoryMiB: 13000},
+		},
+		{
+			Queue: mill.Queue{
+				Name: "estimate", Service: "large", Priority: 2, MaxAttempts: 4, Stretch: 4, Objective: 3 * time.Second,
+				Advice: advice(160*time.Millisecond, 2300*time.Microsecond),
+			},
+			perSecond: 7.22, steps: 1, width: 40, runTime: 2400 * time.Millisecond, allowedPercent: 45, estimateError: 0.5,
+			perTask: mill.Resources{MilliCores: 5600, MemoryMiB: 23000, Accelerators: 1},
+		},
+	}
+}
+
+// loadJob is a submitted job; due is when it should be complete.
+type loadJob struct {
+	queue *loadQueue
+	due   time.Time
+	// counts says that the job is still to be counted.
+	counts bool
+}
+
+// loadWorker is a worker without faults.
+type loadWorker struct {
+	status   mill.WorkerStatus
+	running  map[mill.TaskID]mill.RunStatus
+	finished []mill.FinishedRun
+	number   uint64
+	// renewal is the one that waits for its answer, and sentAt when the leader sent it.
+	renewal *Renew
+	sentAt  time.Time
+}
+
+// loadSimulation is a leader under the load of the large deployment, 1,100 workers and 65 jobs a second, in simulated
+// time. There are no faults, but the leader's plans take time.
+type loadSimulation struct {
+	now       time.Time
+	random    *rand.Rand
+	events    loadEvents
+	number    int
+	state     *jobs.State
+	scheduler *Scheduler
+	// updates are passed to the scheduler before it plans.
+	updates []func()
+	queues  []*loadQueue
+	workers map[string]*loadWorker
+	jobs    map[string]*loadJob
+	// countFrom is when the jobs are submitted whose times count.
+	countFrom time.Time
+}
+
+func newLoadSimulation(seed uint64) *loadSimulation {
+	l := &loadSimulation{
+		now:     simStart,
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		state:   jobs.NewState(),
+		queues:  loadQueues(),
+		workers: make(map[string]*loadWorker),
+		jobs:    make(map[string]*loadJob),
+	}
+
+	setup := &mill.Setup{Version: 1, Services: []mill.Service{{Name: "small"}, {Name: "large"}}}
+	for _, q := range l.queues {
+		setup.Queues = append(setup.Queues, q.Queue)
+	}
+
+	l.state.Apply(&jobs.Command{Setup: setup})
+
+	bounds := Bounds{MaxLease: 10 * time.Second, GangTimeout: 5 * time.Second, MaxStopTime: 900 * time.Millisecond}
+	l.scheduler = New(bounds, 1, l.now, l.state, place.Pack{})
+
+	for i := range 792 {
+		halves := []int64{2, 2, 1, 4}[i%4]
+		l.addWorker(fmt.Sprintf("s%03d", i), "small", mill.Resources{MilliCores: 8000 * halves, MemoryMiB: 32768 * halves})
+	}
+
+	for i := range 308 {
+		l.addWorker(fmt.Sprintf("l%03d", i), "large", mill.Resources{MilliCores: 64000, MemoryMiB: 262144, Accelerators: 8})
+	}
+
+	l.registerAddresses()
+
+	for _, q := range l.queues {
+		l.arrive(q)
+	}
+
+	return l
+}
+
+func (l *loadSimulation) addWorker(id, service string, capacity mill.Resources) {
+	w := &loadWorker{
+		status:  mill.WorkerStatus{ID: id, Service: service, Address: id, Capacity: capacity},
+		running: make(map[mill.TaskID]mill.RunStatus),
+	}
+	l.workers[id] = w
+	l.after(time.Duration(l.random.Int64N(int64(loadReportInterval))), func() { l.report(w) })
+}
+
+func (l *loadSimulation) registerAddresses() {
+	now := l.now
+
+	l.update(func() {
+		for i := range loadAddresses {
+			l.scheduler.AdvisorReachable(fmt.Sprintf("front%d", i), now)
+		}
+	})
+	l.after(time.Second, l.registerAddresses)
+}
+
+func (l *loadSimulation) after(delay time.Duration, do func()) {
+	l.number++
+	heap.Push(&l.events, loadEvent{at: l.now.Add(delay), number: l.number, do: do})
+}
+
+func (l *loadSimulation) update(do func()) {
+	l.updates = append(l.updates, do)
+}
+
+// clockMilli returns the clock of every worker.
+func (l *loadSimulation) clockMilli() int64 {
+	return l.now.Sub(simStart).Milliseconds() + 1
+}
+
+func (l *loadSimulation) accepted() mill.OrderReply {
+	return mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: l.clockMilli()}
+}
+
+func (l *loadSimulation) report(w *loadWorker) {
+	w.status.Sequence++
+	w.status.ClockMilli = l.clockMilli()
+	status, at := w.status, l.now
+
+	l.update(func() { l.scheduler.Report(&status, at) })
+	l.after(loadReportInterval, func() { l.report(w) })
+}
+
+func (l *loadSimulation) arrive(q *loadQueue) {
+	l.after(time.Duration(l.random.ExpFloat64()/q.perSecond*float64(time.Second)), func() {
+		l.submit(q)
+		l.arrive(q)
+	})
+}
+
+// spread returns a random amount with the given mean, up to twice as much.
+func (l *loadSimulation) spread(mean float64) float64 {
+	return mean * (l.random.Float64() + l.random.Float64())
+}
+
+func (l *loadSimulation) submit(q *loadQueue) {
+	id := fmt.Sprintf("%s%d", q.Name, len(l.jobs))
+	steps := 1 + int(q.steps-1+l.random.Float64())
+	work := mill.Workload{}
+	chain := time.Duration(0)
+
+	for index := range steps {
+		run := time.Duration(l.spread(float64(q.runTime)))
+		step := mill.Step{
+			Count: max(1, int(l.spread(q.width))), PerTask: q.perTask, Gang: q.gang, LongRunning: q.stays > 0,
+			Estimate:      time.Duration(float64(run) * (1 + q.estimateError*(l.random.Float64()-0.5))),
+			Checkpointing: q.Priority > 0,
+		}
+
+		if index > 0 {
+			step.After = []int{index - 1}
+		}
+
+		chain += step.Estimate
+		work.Steps = append(work.Steps, step)
+	}
+
+	l.state.Apply(&jobs.Command{Submit: &jobs.Submit{Job: id, Queue: q.Name, UnixMilli: l.now.UnixMilli(), Work: work}})
+
+	objective := time.Duration(q.Stretch*float64(chain)) + q.Objective + time.Duration(steps)*q.Advice.Cost(30)
+	l.jobs[id] = &loadJob{queue: q, due: l.now.Add(objective), counts: !l.countFrom.IsZero() && !l.now.Before(l.countFrom)}
+
+	if q.stays > 0 {
+		l.after(q.stays, func() { l.state.Apply(&jobs.Command{Cancel: &jobs.Cancel{Job: id}}) })
+	}
+}
+
+// runUntil simulates until a time with a leader that schedules.
+func (l *loadSimulation) runUntil(end time.Time) {
+	for next := l.now; next.Before(end); {
+		l.handleEvents(next)
+
+		next = next.Add(l.schedule())
+	}
+
+	l.handleEvents(end)
+}
+
+// outage simulates until a time without plans or orders.
+func (l *loadSimulation) outage(end time.Time) {
+	l.handleEvents(end)
+}
+
+func (l *loadSimulation) handleEvents(end time.Time) {
+	for len(l.events) > 0 && !l.events[0].at.After(end) {
+		event := heap.Pop(&l.events).(loadEvent)
+		l.now = event.at
+		event.do()
+	}
+
+	l.now = end
+}
+
+// schedule plans, as a runner does, and returns the time until the next time.
+func (l *loadSimulation) schedule() time.Duration {
+	for _, update := range l.updates {
+		update()
+	}
+
+	l.updates = nil
+
+	actions := l.scheduler.Next(l.now, l.now.UnixMilli(), l.state)
+	took := loadPlanTime + time.Duration(l.scheduler.examinedWorkers)*loadWorkerTime
+
+	l.scheduler.TakeEvents()
+	l.after(took, func() { l.perform(&actions) })
+
+	return took + restAfter(took)
+}
+
+func (l *loadSimulation) perform(actions *Actions) {
+	if commands := actions.Commands; len(commands) > 0 {
+		l.after(loadCommitTime, func() { l.commit(commands) })
+	}
+
+	for i := range actions.Starts {
+		l.after(loadOrderTime, func() { l.start(&actions.Starts[i]) })
+	}
+
+	for i := range actions.Stops {
+		l.after(loadOrderTime, func() { l.stop(&actions.Stops[i]) })
+	}
+
+	sentAt := l.now
+	for i := range actions.Renews {
+		l.after(loadOrderTime, func() { l.renew(&actions.Renews[i], sentAt) })
+	}
+
+	for i := range actions.AdviceRequests {
+		l.advise(&actions.AdviceRequests[i])
+	}
+}
+
+func (l *loadSimulation) commit(commands []jobs.Command) {
+	results := make([]jobs.Result, 0, len(commands))
+
+	for i := range commands {
+		results = append(results, l.state.Apply(&commands[i]))
+
+		if finish := commands[i].Finish; finish != nil {
+			l.count(finish.Task.Job)
+		}
+	}
+
+	l.update(func() { l.scheduler.Committed(commands, results, nil, l.now) })
+}
+
+// count counts a job if it is complete now.
+func (l *loadSimulation) count(id string) {
+	submitted := l.jobs[id]
+
+	job, ok := l.state.Job(id)
+	if !ok || job.Outcome != mill.JobCompleted || !submitted.counts {
+		return
+	}
+
+	submitted.counts = false
+
+	if l.now.After(submitted.due) {
+		submitted.queue.late++
+	} else {
+		submitted.queue.inTime++
+	}
+}
+
+// countOverdue counts the jobs that should be complete by now and are not.
+func (l *loadSimulation) countOverdue() {
+	for _, submitted := range l.jobs {
+		if submitted.counts && submitted.queue.stays == 0 && l.now.After(submitted.due) {
+			submitted.queue.late++
+		}
+	}
+}
+
+func (l *loadSimulation) start(start *Start) {
+	w := l.workers[start.To.ID]
+	run := mill.RunRef{Task: start.Order.Task, Run: start.Order.Run}
+	w.running[run.Task] = mill.RunStatus{RunRef: run, Percent: fullPercent}
+
+	job, ok := l.state.Job(run.Task.Job)
+	if ok && l.jobs[run.Task.Job].queue.stays == 0 && !job.Finished() {
+		length := time.Duration(float64(job.Work.Steps[run.Task.Step].Estimate) * (0.8 + 0.4*l.random.Float64()))
+		l.after(length, func() { l.finish(w, run, mill.FinishDone) })
+	}
+
+	reply := l.accepted()
+	l.after(loadOrderTime, func() { l.update(func() { l.scheduler.StartAnswered(start, reply, l.now) }) })
+}
+
+func (l *loadSimulation) stop(stop *Stop) {
+	w := l.workers[stop.To.ID]
+	l.after(loadStopTime, func() { l.finish(w, stop.Run, mill.FinishStopped) })
+
+	reply := l.accepted()
+	l.after(loadOrderTime, func() { l.update(func() { l.scheduler.StopAnswered(stop, reply, l.now) }) })
+}
+
+func (l *loadSimulation) finish(w *loadWorker, run mill.RunRef, cause mill.FinishCause) {
+	if status, ok := w.running[run.Task]; !ok || status.Run != run.Run {
+		return
+	}
+
+	delete(w.running, run.Task)
+	w.number++
+	w.finished = append(w.finished, mill.FinishedRun{RunRef: run, Number: w.number, Cause: cause})
+	l.answerRenewal(w)
+}
+
+func (l *loadSimulation) renew(renewal *Renew, sentAt time.Time) {
+	w := l.workers[renewal.To.ID]
+	w.renewal, w.sentAt = renewal, sentAt
+
+	for len(w.finished) > 0 && w.finished[0].Number <= renewal.Order.Acknowledged {
+		w.finished = w.finished[1:]
+	}
+
+	if renewal.Order.Wait == 0 || len(w.finished) > 0 {
+		l.answerRenewal(w)
+
+		return
+	}
+
+	l.after(renewal.Order.Wait, func() {
+		if w.renewal == renewal {
+			l.answerRenewal(w)
+		}
+	})
+}
+
+func (l *loadSimulation) answerRenewal(w *loadWorker) {
+	renewal, sentAt := w.renewal, w.sentAt
+	if renewal == nil {
+		return
+	}
+
+	w.renewal = nil
+	reply := &mill.RenewReply{OrderReply: l.accepted(), Finished: append([]mill.FinishedRun(nil), w.finished...)}
+
+	for _, status := range w.running {
+		if l.jobs[status.Task.Job].queue.stays == 0 {
+			status.Percent = float64(l.clockMilli()) // A run that makes progress.
+		}
+
+		reply.Running = append(reply.Running, status)
+	}
+
+	l.after(loadOrderTime, func() { l.update(func() { l.scheduler.RenewAnswered(renewal, reply, sentAt, l.now) }) })
+}
+
+func (l *loadSimulation) advise(request *AdviceRequest) {
+	q := l.jobs[request.Step.Job].queue
+
+	l.after(loadAdviceTime+q.Advice.Cost(len(request.Workers)), func() {
+		reply := &mill.Advice{Validity: q.Advice.Validity}
+
+		for _, id := range request.Workers {
+			if percentOf(request.Step.String()+id) < q.allowedPercent {
+				reply.Tickets = append(reply.Tickets, mill.Ticket{Worker: id, Text: "t"})
+			}
+		}
+
+		l.update(func() { l.scheduler.AdviceAnswered(request, reply, l.now) })
+	})
+}
+
+// percentOf returns a number below 100 that follows from a text.
+func percentOf(text string) uint32 {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(text))
+
+	return hash.Sum32() % 100
+}
