Look only at the workers that a waiting step may use

Cause: each plan went through all workers of the pool for each waiting step, several times: to sort them all by free capacity for each request of advice, to find those with capacity, to find those to reserve, and to look up all tickets of steps whose tickets had expired long ago. So a plan took longer with each waiting step. It is followed by a pause of three times its length, and a step needs three to four plans until its tasks run and its end counts. Short jobs became late, less was placed than arrived, more steps waited: any first backlog kept itself up.

Now the workers are sorted by free capacity once a plan; a step looks at those that it fits on, and at no more than a request names; steps without a valid ticket are passed over; and a plan looks for workers to reserve that are not free yet for 24 steps. Capacity for a step that waits for advice is reserved on the workers that the request names, as it was already once the request was sent.

--- a/internal/lead/advice_requests.go
+++ b/internal/lead/advice_requests.go
@@ -40,28 +40,29 @@
 		}
 
 		if len(c.adviceWanted) > 0 && c.canRequestAdvice(now) && (idle > kept || c.hasQuickAdvice()) {
-			requests = append(requests, s.newAdviceRequest(c, addresses[len(requests)], s.addUnknownWorkers(c, now)))
+			requests = append(requests, s.newAdviceRequest(c, addresses[len(requests)], s.addUnknownWorkers(c, p)))
 		}
 	}
 
-	return s.requestEarlyAdvice(requests, candidates, addresses, now)
+	return s.requestEarlyAdvice(requests, candidates, p)
 }
 
 // requestEarlyAdvice adds requests for steps that were never asked about, as long as more than half
 // of the addresses remain idle.
-func (s *Scheduler) requestEarlyAdvice(
-	requests []AdviceRequest, candidates []*candidate, addresses []string, now time.Time,
-) []AdviceRequest {
+func (s *Scheduler) requestEarlyAdvice(requests []AdviceRequest, candidates []*candidate, p *pass) []AdviceRequest {
+	addresses := p.idleAddresses
+
 	for _, c := range candidates {
 		if len(addresses)-len(requests) <= len(s.advisorAddresses)/2 {
 			break
 		}
 
-		if !c.canRequestAdvice(now) || s.knowsEnough(c) {
+		if !c.canRequestAdvice(p.now) || s.knowsEnough(c) {
 			continue
 		}
 
-		if workers := mostFreeIDs(s.unknownWorkers(c, now), s.adviceNames(c)); len(workers) > 0 {
+		unknown := func(w *worker) bool { return !c.advice.answeredFor[w.status.ID] }
+		if workers := c.mostFreeIDs(p.usableWorkers(c), s.adviceNames(c), unknown); len(workers) > 0 {
 			requests = append(requests, s.newAdviceRequest(c, addresses[len(requests)], workers))
 		}
 	}
@@ -72,7 +73,7 @@
 // addUnknownWorkers adds workers that were never asked about to a request that is due. Each further
 // worker costs the advisor little compared with the request itself, and knowing the answer early
 // saves a request when capacity becomes free.
-func (s *Scheduler) addUnknownWorkers(c *candidate, now time.Time) []string {
+func (s *Scheduler) addUnknownWorkers(c *candidate, p *pass) []string {
 	known := func(id string) bool { return c.advice.answeredFor[id] }
 	if !slices.ContainsFunc(c.adviceWanted, func(id string) bool { return !known(id) }) {
 		return c.adviceWanted
@@ -81,7 +82,7 @@
 	widened := slices.Clone(c.adviceWanted)
 	names := s.adviceNames(c)
 
-	for _, id := range mostFreeIDs(s.compatibleWorkers(c, now), names) {
+	for _, id := range c.mostFreeIDs(p.usableWorkers(c), names, nil) {
 		if len(widened) < names && !known(id) && !slices.Contains(widened, id) {
 			widened = append(widened, id)
 		}
@@ -128,27 +129,6 @@
 	return idle
 }
 
-// compatibleWorkers returns the usable workers that could run the step if they were empty.
-func (s *Scheduler) compatibleWorkers(c *candidate, now time.Time) []*worker {
-	var found []*worker
-
-	s.examinedWorkers += len(s.workers)
-
-	for _, w := range s.workersByID() {
-		if c.compatible(w) && w.usable(now) {
-			found = append(found, w)
-		}
-	}
-
-	return found
-}
-
-// unknownWorkers returns the usable workers that could run the step if they were empty and that the advisor was not
-// asked about.
-func (s *Scheduler) unknownWorkers(c *candidate, now time.Time) []*worker {
-	return slices.DeleteFunc(s.compatibleWorkers(c, now), func(w *worker) bool { return c.advice.answeredFor[w.status.ID] })
-}
-
 // knowsEnough reports whether no early request for a step is worth its time: for a gang, once enough allowed workers
 // are known, and for other steps, which can start in part, once the advisor has answered.
 func (s *Scheduler) knowsEnough(c *candidate) bool {
@@ -168,24 +148,31 @@
 	return plan.AdviceNames(plan.KnownWanted(c.workersNeeded()), s.allowedShares.Share(c.queue.Name))
 }
 
-// mostFreeIDs returns the ids of the workers with the most free capacity, at most as many as the limit. It sorts the
-// workers in place.
-func mostFreeIDs(workers []*worker, limit int) []string {
-	slices.SortFunc(workers, func(a, b *worker) int {
-		x, y := a.free(), b.free()
-
-		return cmp.Or(
-			cmp.Compare(y.Accelerators, x.Accelerators),
-			cmp.Compare(y.MilliCores, x.MilliCores),
-			cmp.Compare(a.status.ID, b.status.ID),
-		)
-	})
-
+// mostFreeIDs returns the ids of the first workers in a list, sorted by free capacity, that could run the step if they were
+// empty and that pass the filter, at most as many as the limit; a nil filter passes all.
+func (c *candidate) mostFreeIDs(sorted []*worker, limit int, filter func(w *worker) bool) []string {
 	ids := make([]string, 0, limit)
 
-	for _, w := range workers[:min(len(workers), limit)] {
-		ids = append(ids, w.status.ID)
+	for _, w := range sorted {
+		if len(ids) == limit {
+			break
+		}
+
+		if c.compatible(w) && (filter == nil || filter(w)) {
+			ids = append(ids, w.status.ID)
+		}
 	}
 
 	return ids
 }
+
+// byFreeCapacity orders workers by their free capacity, the most first.
+func byFreeCapacity(a, b *worker) int {
+	x, y := a.free(), b.free()
+
+	return cmp.Or(
+		cmp.Compare(y.Accelerators, x.Accelerators),
+		cmp.Compare(y.MilliCores, x.MilliCores),
+		byID(a, b),
+	)
+}
--- a/internal/lead/advice_reserve.go
+++ b/internal/lead/advice_reserve.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"math"
 	"time"
 
 	"github.com/cranberrymill/cranberrymill/internal/plan"
@@ -36,7 +37,7 @@
 // reserveOn reserves capacity on those workers that pass the filter, and reports whether the step
 // fits on them.
 func (s *Scheduler) reserveOn(c *candidate, among []*worker, filter func(w *worker) bool) bool {
-	described, workers := s.eligibleWorkers(c, among, filter)
+	described, workers := s.eligibleWorkers(c, among, filter, c.reservationWidth(s.adviceNames(c)))
 
 	chosen := plan.PlaceTasks(described, c.demand(), len(c.waiting), s.placer, nil)
 	if len(chosen) == 0 || (c.step.Gang && len(chosen) < len(c.waiting)) {
@@ -47,16 +48,26 @@
 		workers[at].reserve(c.step.Reserves())
 	}
 
-	c.adviceWanted = mostFreeIDs(workers, s.adviceNames(c))
+	c.adviceWanted = c.mostFreeIDs(workers, s.adviceNames(c), nil)
 
 	return true
 }
 
+// reservationWidth returns on how many workers a reservation for a step is looked for at the most: on those that a request
+// names, or on all if the place of the tasks matters.
+func (c *candidate) reservationWidth(names int) int {
+	if c.step.SameRack || c.step.DataRack != "" {
+		return math.MaxInt
+	}
+
+	return names
+}
+
 // adviceTargets returns the workers on which capacity may be reserved: those named in the
 // outstanding request, or else the whole pool.
 func (s *Scheduler) adviceTargets(c *candidate, p *pass) []*worker {
 	if !c.advice.requestPending {
-		return p.pool(c).workers
+		return p.pool(c).fitting(c)
 	}
 
 	return s.acceptingWorkers(c.advice.requested, p.now)
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -20,9 +20,13 @@
 	// without a ticket are refused.
 	answeredFor map[string]bool
 	// requested holds the workers named in the outstanding request.
-	requested      []string
-	tickets        map[string]ticket
+	requested []string
+	tickets   map[string]ticket
+	// holders lists the workers with a ticket, which may have expired.
+	holders        []string
 	requestPending bool
+	// validUntil is the latest time until which any ticket is valid.
+	validUntil time.Time
 	// nextRequest is the earliest time of the next request after one that failed.
 	nextRequest time.Time
 }
@@ -31,6 +35,19 @@
 	return &advice{answeredFor: make(map[string]bool), tickets: make(map[string]ticket)}
 }
 
+// add adds the advisor's permission for a worker.
+func (a *advice) add(worker string, t ticket) {
+	if _, ok := a.tickets[worker]; !ok {
+		a.holders = append(a.holders, worker)
+	}
+
+	a.tickets[worker] = t
+
+	if t.validUntil.After(a.validUntil) {
+		a.validUntil = t.validUntil
+	}
+}
+
 // candidate is a step with tasks that are ready to be placed.
 type candidate struct {
 	id    mill.StepID
@@ -112,17 +129,22 @@
 	}
 }
 
-// eligibleWorkers returns the workers that have free, unreserved capacity for a task of the step and
+// eligibleWorkers returns the first workers, up to a limit, that have free, unreserved capacity for a task of the step and
 // that pass the filter, together with their descriptions for package plan; a nil filter passes all. The
 // results are valid until the next call.
 func (s *Scheduler) eligibleWorkers(
-	c *candidate, workers []*worker, filter func(w *worker) bool,
+	c *candidate, workers []*worker, filter func(w *worker) bool, limit int,
 ) (described []plan.CandidateWorker, eligible []*worker) {
 	described, eligible = s.describedBuffer[:0], s.eligibleBuffer[:0]
 	perTask := c.step.Reserves()
-	s.examinedWorkers += len(workers)
 
 	for _, w := range workers {
+		if len(eligible) == limit {
+			break
+		}
+
+		s.examinedWorkers++
+
 		if w.isolatingRuns == 0 && perTask.Fits(w.unreserved()) && c.compatible(w) && (filter == nil || filter(w)) {
 			described = append(described, c.describe(w))
 			eligible = append(eligible, w)
@@ -162,3 +184,9 @@
 
 	return true, found.validUntil.After(now.Add(c.deliveryDelay))
 }
+
+// ticketsValid reports whether any ticket of the step will still be valid when an order decided at the given time is
+// delivered.
+func (c *candidate) ticketsValid(now time.Time) bool {
+	return c.advice.validUntil.After(now.Add(c.deliveryDelay))
+}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -54,7 +55,7 @@
 		return nil
 	}
 
-	described, workers := s.eligibleWorkers(c, s.ticketHolders(c, p), filter)
+	described, workers := s.eligibleWorkers(c, s.ticketHolders(c, p), filter, math.MaxInt)
 	chosen := plan.PlaceTasks(described, c.demand(), len(c.waiting), s.placer,
 		s.avoidFailedWorkers(c, p.pool(c).workers, p.now))
 	if c.step.Gang && len(chosen) < len(c.waiting) {
@@ -131,12 +132,16 @@
 // with a valid ticket, or all of the pool if the queue needs no advice.
 func (s *Scheduler) ticketHolders(c *candidate, p *pass) []*worker {
 	if c.advice == nil {
-		return p.pool(c).workers
+		return p.pool(c).fitting(c)
 	}
 
-	ids := make([]string, 0, len(c.advice.tickets))
+	if !c.ticketsValid(p.now) {
+		return nil
+	}
+
+	ids := make([]string, 0, len(c.advice.holders))
 
-	for id := range c.advice.tickets {
+	for _, id := range c.advice.holders {
 		if _, valid := c.allows(id, p.now); valid {
 			ids = append(ids, id)
 		}
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -18,11 +18,17 @@
 	// findPools returns the pools by service; it is called once a step waits.
 	findPools func() map[string]*pool
 	pools     map[string]*pool
+	// findUsable returns the usable workers by service, those with the most free capacity first; it is called once
+	// requests for advice are due.
+	findUsable func() map[string][]*worker
+	usable     map[string][]*worker
 	// idleAddresses are the addresses through which the advisor can be asked now.
 	idleAddresses []string
 	// reservationsLeft limits the further steps for which the pass looks for capacity to reserve
 	// while the advisor is asked.
 	reservationsLeft int
+	// preemptionsLeft limits the further steps for which the pass looks for workers to reserve that are not free yet.
+	preemptionsLeft int
 	// victims holds the urgency of the steps whose runs were considered for preemption.
 	victims map[mill.StepID]plan.Urgency
 }
@@ -36,8 +42,10 @@
 		wallMilli:        wallMilli,
 		state:            state,
 		findPools:        func() map[string]*pool { return s.pools(now) },
+		findUsable:       func() map[string][]*worker { return s.usableByFreeCapacity(now) },
 		idleAddresses:    addresses,
 		reservationsLeft: len(addresses) + extraReservations,
+		preemptionsLeft:  maxPreemptions,
 		victims:          make(map[mill.StepID]plan.Urgency),
 	}
 }
@@ -46,6 +54,9 @@
 type pool struct {
 	// workers are sorted by id, so that plans are deterministic.
 	workers []*worker
+	// byMilliCores and byAccelerators hold the workers by free capacity; nil until they are needed.
+	byMilliCores   *freeWorkers
+	byAccelerators *freeWorkers
 	// maxFree is the highest free capacity of any worker, and minCapacity the lowest total capacity
 	// of any, in each dimension separately.
 	maxFree     mill.Resources
@@ -75,6 +86,16 @@
 	return emptyPool
 }
 
+// usableWorkers returns the usable workers of a step's service, sorted by their free capacity after the placements of this
+// pass. It must not be called before these.
+func (p *pass) usableWorkers(c *candidate) []*worker {
+	if p.usable == nil {
+		p.usable = p.findUsable()
+	}
+
+	return p.usable[c.queue.Service]
+}
+
 func (p *pool) add(w *worker) {
 	free, capacity := w.free(), w.status.Capacity
 
@@ -99,6 +120,30 @@
 	p.workers = append(p.workers, w)
 }
 
+// fitting returns the workers that had the capacity for a task of the step when the pass began. The result is valid until
+// the next call.
+func (p *pool) fitting(c *candidate) []*worker {
+	if len(p.workers) == 0 {
+		return nil
+	}
+
+	perTask := c.step.Reserves()
+
+	if perTask.Accelerators > 0 {
+		if p.byAccelerators == nil {
+			p.byAccelerators = newFreeWorkers(p.workers, accelerators)
+		}
+
+		return p.byAccelerators.fitting(perTask)
+	}
+
+	if p.byMilliCores == nil {
+		p.byMilliCores = newFreeWorkers(p.workers, milliCores)
+	}
+
+	return p.byMilliCores.fitting(perTask)
+}
+
 // allocate deducts a task's resources from the pool's free capacity.
 func (p *pool) allocate(perTask mill.Resources) {
 	p.free = p.free.Sub(perTask)
@@ -136,6 +181,23 @@
 	return pools
 }
 
+func (s *Scheduler) usableByFreeCapacity(now time.Time) map[string][]*worker {
+	usable := make(map[string][]*worker)
+	s.examinedWorkers += len(s.workers)
+
+	for _, w := range s.workersByID() {
+		if w.usable(now) {
+			usable[w.status.Service] = append(usable[w.status.Service], w)
+		}
+	}
+
+	for _, workers := range usable {
+		slices.SortFunc(workers, byFreeCapacity)
+	}
+
+	return usable
+}
+
 // acceptsWork reports whether a worker may be given new work: it is usable, its capacity is known and its machine is
 // not being drained for maintenance.
 func (s *Scheduler) acceptsWork(w *worker, now time.Time) bool {
@@ -148,7 +210,7 @@
 	return !w.hasUnknownRuns && now.Sub(w.statusSentAt) < s.bounds.statusValidity()
 }
 
-// acceptingWorkers returns the workers with the given ids that accept new work, sorted by id.
+// acceptingWorkers returns the workers with the given ids that accept new work.
 func (s *Scheduler) acceptingWorkers(ids []string, now time.Time) []*worker {
 	found := make([]*worker, 0, len(ids))
 	s.examinedWorkers += len(ids)
@@ -159,8 +221,6 @@
 		}
 	}
 
-	slices.SortFunc(found, byID)
-
 	return found
 }
 
--- a/internal/lead/preempt.go
+++ b/internal/lead/preempt.go
@@ -13,6 +13,10 @@
 // tasks at a time: its free capacity is idle meanwhile.
 const reservedShare = 4
 
+// maxPreemptions is for how many steps a plan looks for workers to reserve that are not free yet. Each looks at a whole pool,
+// and together they may take about as long as the rest of a plan.
+const maxPreemptions = 24
+
 // maxIdleReservation is how soon a worker must have enough free capacity to be reserved for a step
 // that is not starving: its capacity is then idle only briefly.
 const maxIdleReservation = time.Second
@@ -38,10 +42,12 @@
 		count = len(c.waiting)
 	}
 
-	if count > available || !isLarge(c.step.Reserves(), pool.minCapacity) {
+	if count > available || p.preemptionsLeft == 0 || !isLarge(c.step.Reserves(), pool.minCapacity) {
 		return
 	}
 
+	p.preemptionsLeft--
+
 	chosen := s.earliestReservations(c, p, pool.workers, count)
 	if len(chosen) < count || !c.urgency.Starving() && chosen[count-1].wait > maxIdleReservation {
 		return
@@ -138,7 +144,7 @@
 // mayReserve reports whether a worker may be reserved for a step: a task needs most of it, and
 // the advisor has not refused it.
 func (s *Scheduler) mayReserve(c *candidate, w *worker) bool {
-	if !c.compatible(w) || !isLarge(c.step.Reserves(), w.status.Capacity) {
+	if !isLarge(c.step.Reserves(), w.status.Capacity) || !c.compatible(w) {
 		return false
 	}
 
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -385,6 +385,6 @@
 	}
 
 	for _, t := range reply.Tickets {
-		a.tickets[t.Worker] = ticket{text: t.Text, validUntil: now.Add(reply.Validity - ticketMargin)}
+		a.add(t.Worker, ticket{text: t.Text, validUntil: now.Add(reply.Validity - ticketMargin)})
 	}
 }
