Refuse reports that no worker would send

Seen by operators of similar systems: another writer left an entry that was deeply nested, with a number too large or a port out of range, and the machines that read the list ended or stopped following it.

It can happen here in part. By tests: a report with any of 20 oddities was accepted with 200; nesting, a number that does not fit and another type were refused, and no process ended. By reading, what an accepted one does: a sequence or start time near the end of its range, under the id of a worker, makes every later report of that worker count as old; a capacity near the end of its range overflows the pool's sum, so that deferrable work counts as without room; a port out of range or a name instead of an address gets placements that cannot be sent; a clock out of range overflows the age of the status; 4 MiB of labels go into the replicated state.

--- a/pkg/mill/worker_status.go
+++ b/pkg/mill/worker_status.go
@@ -1,8 +1,24 @@
 package mill
 
 import (
+	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// The bounds of a worker's status, so that one that does not come from a worker can neither exhaust memory nor overflow
+// the sums over all workers.
+const (
+	// MaxStatusText limits the id, the service, the data centre and each label in bytes.
+	MaxStatusText = 256
+	// MaxLabels limits the labels of a worker.
+	MaxLabels = 64
+	// MaxStatusNumber limits the numbers that only grow: the largest that every JSON reader keeps exact.
+	MaxStatusNumber = 1 << 53
+	// MaxRemaining limits the time that a draining worker has left.
+	MaxRemaining = 365 * 24 * time.Hour
 )
 
 // WorkerStatus is a worker's description of itself.
@@ -28,6 +44,55 @@
 	Sequence uint64
 }
 
+// Validate returns ErrInvalid naming the first field that no worker would send. A capacity of zero is valid: such a worker
+// takes no work.
+func (s *WorkerStatus) Validate() error {
+	if err := s.validateTexts(); err != nil {
+		return err
+	}
+
+	address, err := netip.ParseAddrPort(s.Address)
+	if err != nil || address.Port() == 0 {
+		return merry.Prependf(ErrInvalid, "address %.64q: want an IP address and a port of 1 to 65535", s.Address)
+	}
+
+	for _, amount := range []int64{s.Capacity.MilliCores, s.Capacity.MemoryMiB, s.Capacity.Accelerators} {
+		if amount < 0 || amount > MaxTaskAmount {
+			return merry.Prependf(ErrInvalid, "capacity %+v: want 0 to %d", s.Capacity, int64(MaxTaskAmount))
+		}
+	}
+
+	if s.Remaining < 0 || s.Remaining > MaxRemaining {
+		return merry.Prependf(ErrInvalid, "time left %s: want 0 to %s", s.Remaining, MaxRemaining)
+	}
+
+	for _, number := range []int64{s.StartUnixMilli, s.ClockMilli} {
+		if number < 0 || number > MaxStatusNumber {
+			return merry.Prependf(ErrInvalid, "start %d, clock %d: want 0 to %d", s.StartUnixMilli, s.ClockMilli, MaxStatusNumber)
+		}
+	}
+
+	if s.Sequence > MaxStatusNumber {
+		return merry.Prependf(ErrInvalid, "sequence %d: want at most %d", s.Sequence, MaxStatusNumber)
+	}
+
+	return nil
+}
+
+func (s *WorkerStatus) validateTexts() error {
+	if len(s.Labels) > MaxLabels {
+		return merry.Prependf(ErrInvalid, "%d labels: want at most %d", len(s.Labels), MaxLabels)
+	}
+
+	for _, text := range append([]string{s.ID, s.Service, s.DataCentre, s.Rack}, s.Labels...) {
+		if len(text) > MaxStatusText {
+			return merry.Prependf(ErrInvalid, "%.64q and %d bytes more: want at most %d bytes", text, len(text)-64, MaxStatusText)
+		}
+	}
+
+	return nil
+}
+
 // NewerThan reports whether s was sent after other, by the same worker.
 func (s *WorkerStatus) NewerThan(other *WorkerStatus) bool {
 	if s.StartUnixMilli != other.StartUnixMilli {
