Refuse a job whose estimate is out of range

An estimated run time of 1e300 ms was accepted on arm64 as the largest duration there is, which overflows the sum over a job's steps, and on x86-64 it was refused as negative. Now an estimate of more than a year is refused on both. TestOddNumbersInJobs failed before.

--- a/pkg/mill/workload.go
+++ b/pkg/mill/workload.go
@@ -14,6 +14,8 @@
 	MaxRepetitions = 1 << 20
 	// MaxTaskAmount limits a task's requirement in any one resource.
 	MaxTaskAmount = 1 << 40
+	// MaxEstimate limits a task's estimated run time, so that the sum over all steps cannot overflow.
+	MaxEstimate = 365 * 24 * time.Hour
 )
 
 // Workload is the work of a job: steps of identical tasks, run once or repeatedly.
@@ -125,6 +127,10 @@
 		return merry.Prepend(ErrInvalid, "maxPerWorker, mayMiss, estimate and tailTarget: want 0 or more")
 	}
 
+	if s.Estimate > MaxEstimate {
+		return merry.Prependf(ErrInvalid, "estimate %s: want at most %s", s.Estimate, MaxEstimate)
+	}
+
 	for _, amount := range []int64{s.PerTask.MilliCores, s.PerTask.MemoryMiB, s.PerTask.Accelerators} {
 		if amount < 0 || amount > MaxTaskAmount {
 			return merry.Prependf(ErrInvalid, "resource amount %d: want 0 to %d", amount, int64(MaxTaskAmount))
