Leave workers without capacity out of the pools

A report with an empty capacity is valid: a worker may shrink to nothing. It made the smallest capacity of its pool zero, so each task counted as large there, and plans looked for workers to reserve for each step that waits. TestWorkerWithoutCapacityDoesNotCount failed before (4 workers in the pool, want 3).

--- a/internal/lead/capacity_test.go
+++ b/internal/lead/capacity_test.go
@@ -371,3 +371,14 @@
 	c.plan()
 	assert.Assert(t, c.placed("job"))
 }
+
+// TestWorkerWithoutCapacityDoesNotCount expects a worker whose report says that it has no capacity to change nothing for
+// the others: with it as the smallest worker of the pool every task would count as large.
+func TestWorkerWithoutCapacityDoesNotCount(t *testing.T) {
+	_, scheduler := benchmarkPool(3)
+	scheduler.Report(&mill.WorkerStatus{ID: "odd", Service: "pool", Address: "a", ClockMilli: 1, Sequence: 1}, simStart)
+
+	pool := scheduler.pools(simStart)["pool"]
+	assert.Equal(t, len(pool.workers), 3)
+	assert.Equal(t, pool.minCapacity, mill.Resources{MilliCores: 4000, MemoryMiB: 4000})
+}
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -198,10 +198,10 @@
 	return usable
 }
 
-// acceptsWork reports whether a worker may be given new work: it is usable, its capacity is known and its machine is
-// not being drained for maintenance.
+// acceptsWork reports whether a worker may be given new work: it is usable, it has capacity, how much of it is free is
+// known, and its machine is not being drained for maintenance.
 func (s *Scheduler) acceptsWork(w *worker, now time.Time) bool {
-	return w.usable(now) && s.capacityKnown(w, now) && s.maintenanceOf(w) == nil
+	return w.usable(now) && w.status.Capacity.Valid() && s.capacityKnown(w, now) && s.maintenanceOf(w) == nil
 }
 
 // capacityKnown reports whether the worker's status is recent enough to rely on its capacity, which may shrink, and
