Sort the workers once for placements and for advice

The workers were sorted by free capacity twice a plan, for placements and for requests of advice. One order serves both; workers that do not accept new work are no longer asked about.

--- a/internal/lead/advice_requests.go
+++ b/internal/lead/advice_requests.go
@@ -1,7 +1,6 @@
 package lead
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -62,7 +61,7 @@
 		}
 
 		unknown := func(w *worker) bool { return !c.advice.answeredFor[w.status.ID] }
-		if workers := c.mostFreeIDs(p.usableWorkers(c), s.adviceNames(c), unknown); len(workers) > 0 {
+		if workers := p.pool(c).mostFreeIDs(c, s.adviceNames(c), unknown); len(workers) > 0 {
 			requests = append(requests, s.newAdviceRequest(c, addresses[len(requests)], workers))
 		}
 	}
@@ -82,7 +81,7 @@
 	widened := slices.Clone(c.adviceWanted)
 	names := s.adviceNames(c)
 
-	for _, id := range c.mostFreeIDs(p.usableWorkers(c), names, nil) {
+	for _, id := range p.pool(c).mostFreeIDs(c, names, nil) {
 		if len(widened) < names && !known(id) && !slices.Contains(widened, id) {
 			widened = append(widened, id)
 		}
@@ -147,32 +146,3 @@
 
 	return plan.AdviceNames(plan.KnownWanted(c.workersNeeded()), s.allowedShares.Share(c.queue.Name))
 }
-
-// mostFreeIDs returns the ids of the first workers in a list, sorted by free capacity, that could run the step if they were
-// empty and that pass the filter, at most as many as the limit; a nil filter passes all.
-func (c *candidate) mostFreeIDs(sorted []*worker, limit int, filter func(w *worker) bool) []string {
-	ids := make([]string, 0, limit)
-
-	for _, w := range sorted {
-		if len(ids) == limit {
-			break
-		}
-
-		if c.compatible(w) && (filter == nil || filter(w)) {
-			ids = append(ids, w.status.ID)
-		}
-	}
-
-	return ids
-}
-
-// byFreeCapacity orders workers by their free capacity, the most first.
-func byFreeCapacity(a, b *worker) int {
-	x, y := a.free(), b.free()
-
-	return cmp.Or(
-		cmp.Compare(y.Accelerators, x.Accelerators),
-		cmp.Compare(y.MilliCores, x.MilliCores),
-		byID(a, b),
-	)
-}
--- a/internal/lead/advice_reserve.go
+++ b/internal/lead/advice_reserve.go
@@ -48,7 +48,10 @@
 		workers[at].reserve(c.step.Reserves())
 	}
 
-	c.adviceWanted = c.mostFreeIDs(workers, s.adviceNames(c), nil)
+	c.adviceWanted = make([]string, 0, len(workers))
+	for _, w := range workers[:min(len(workers), s.adviceNames(c))] {
+		c.adviceWanted = append(c.adviceWanted, w.status.ID)
+	}
 
 	return true
 }
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -1,7 +1,6 @@
 package lead
 
 import (
-	"slices"
 	"strings"
 	"time"
 
@@ -18,10 +17,6 @@
 	// findPools returns the pools by service; it is called once a step waits.
 	findPools func() map[string]*pool
 	pools     map[string]*pool
-	// findUsable returns the usable workers by service, those with the most free capacity first; it is called once
-	// requests for advice are due.
-	findUsable func() map[string][]*worker
-	usable     map[string][]*worker
 	// idleAddresses are the addresses through which the advisor can be asked now.
 	idleAddresses []string
 	// reservationsLeft limits the further steps for which the pass looks for capacity to reserve
@@ -42,7 +37,6 @@
 		wallMilli:        wallMilli,
 		state:            state,
 		findPools:        func() map[string]*pool { return s.pools(now) },
-		findUsable:       func() map[string][]*worker { return s.usableByFreeCapacity(now) },
 		idleAddresses:    addresses,
 		reservationsLeft: len(addresses) + extraReservations,
 		preemptionsLeft:  maxPreemptions,
@@ -86,16 +80,6 @@
 	return emptyPool
 }
 
-// usableWorkers returns the usable workers of a step's service, sorted by their free capacity after the placements of this
-// pass. It must not be called before these.
-func (p *pass) usableWorkers(c *candidate) []*worker {
-	if p.usable == nil {
-		p.usable = p.findUsable()
-	}
-
-	return p.usable[c.queue.Service]
-}
-
 func (p *pool) add(w *worker) {
 	free, capacity := w.free(), w.status.Capacity
 
@@ -120,28 +104,54 @@
 	p.workers = append(p.workers, w)
 }
 
-// fitting returns the workers that had the capacity for a task of the step when the pass began. The result is valid until
-// the next call.
-func (p *pool) fitting(c *candidate) []*worker {
-	if len(p.workers) == 0 {
-		return nil
-	}
-
-	perTask := c.step.Reserves()
-
-	if perTask.Accelerators > 0 {
+// byFreeCapacity returns the workers sorted by what was free, of what a step needs, when the pass began.
+func (p *pool) byFreeCapacity(c *candidate) *freeWorkers {
+	if c.step.Reserves().Accelerators > 0 {
 		if p.byAccelerators == nil {
 			p.byAccelerators = newFreeWorkers(p.workers, accelerators)
 		}
 
-		return p.byAccelerators.fitting(perTask)
+		return p.byAccelerators
 	}
 
 	if p.byMilliCores == nil {
 		p.byMilliCores = newFreeWorkers(p.workers, milliCores)
 	}
 
-	return p.byMilliCores.fitting(perTask)
+	return p.byMilliCores
+}
+
+// fitting returns the workers that had the capacity for a task of the step when the pass began, those with the most first.
+// The result is valid until the next call.
+func (p *pool) fitting(c *candidate) []*worker {
+	if len(p.workers) == 0 {
+		return nil
+	}
+
+	return p.byFreeCapacity(c).fitting(c.step.Reserves())
+}
+
+// mostFreeIDs returns the ids of those workers with the most free capacity that could run the step if they were empty and
+// that pass the filter, at most as many as the limit; a nil filter passes all.
+func (p *pool) mostFreeIDs(c *candidate, limit int, filter func(w *worker) bool) []string {
+	if len(p.workers) == 0 {
+		return nil
+	}
+
+	ids := make([]string, 0, limit)
+	entries := p.byFreeCapacity(c).entries
+
+	for i := range entries {
+		if len(ids) == limit {
+			break
+		}
+
+		if w := entries[i].worker; c.compatible(w) && (filter == nil || filter(w)) {
+			ids = append(ids, w.status.ID)
+		}
+	}
+
+	return ids
 }
 
 // allocate deducts a task's resources from the pool's free capacity.
@@ -181,23 +191,6 @@
 	return pools
 }
 
-func (s *Scheduler) usableByFreeCapacity(now time.Time) map[string][]*worker {
-	usable := make(map[string][]*worker)
-	s.examinedWorkers += len(s.workers)
-
-	for _, w := range s.workersByID() {
-		if w.usable(now) {
-			usable[w.status.Service] = append(usable[w.status.Service], w)
-		}
-	}
-
-	for _, workers := range usable {
-		slices.SortFunc(workers, byFreeCapacity)
-	}
-
-	return usable
-}
-
 // acceptsWork reports whether a worker may be given new work: it is usable, it has capacity, how much of it is free is
 // known, and its machine is not being drained for maintenance.
 func (s *Scheduler) acceptsWork(w *worker, now time.Time) bool {
