--- a/internal/lead/preempt.go
+++ b/internal/lead/preempt.go
@@ -13,8 +13,8 @@
 // tasks at a time: its free capacity is idle meanwhile.
 const reservedShare = 4
 
-// maxPreemptions is for how many steps a plan looks for workers to reserve that are not free yet. Each looks at a whole pool,
-// and together they may take about as long as the rest of a plan.
+// maxPreemptions is for how many steps a plan looks for workers to reserve that are not free yet. Each looks at a whole
+// pool, and together they may take about as long as the rest of a plan.
 const maxPreemptions = 24
 
 // maxIdleReservation is how soon a worker must have enough free capacity to be reserved for a step
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -339,7 +339,8 @@
 		log.Info().Int("open", s.OpenJobs).Int("waitingSteps", s.WaitingSteps).Int("asking", s.PendingAdvice).Int("runs", s.Runs).
 			Int("doubtful", s.Doubtful).Int("workers", s.Workers).Int("usable", s.UsableWorkers).
 			Int("unknownCapacity", s.UnknownCapacity).Int("callers", s.AdvisorAddresses).Int("busyCallers", s.BusyAddresses).
-			Int("plans", r.plans).Int("examinedWorkers", s.ExaminedWorkers).Dur("planTime", r.planTime).Dur("longestPlan", r.longestPlan).
+			Int("plans", r.plans).Dur("planTime", r.planTime).Dur("longestPlan", r.longestPlan).
+			Int("examinedWorkers", s.ExaminedWorkers).
 			Msg("scheduler status")
 	})
 
--- a/pkg/mill/worker_status.go
+++ b/pkg/mill/worker_status.go
@@ -62,6 +62,10 @@
 		}
 	}
 
+	return s.validateNumbers()
+}
+
+func (s *WorkerStatus) validateNumbers() error {
 	if s.Remaining < 0 || s.Remaining > MaxRemaining {
 		return merry.Prependf(ErrInvalid, "time left %s: want 0 to %s", s.Remaining, MaxRemaining)
 	}
