Limit the search for workers to reserve in each pool by itself

TestReservationsOfOnePoolLeaveThoseOfOthers failed before: 24 workers reserved in the crowded pool, none in the other, want 1.

--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -22,8 +22,6 @@
 	// reservationsLeft limits the further steps for which the pass looks for capacity to reserve
 	// while the advisor is asked.
 	reservationsLeft int
-	// preemptionsLeft limits the further steps for which the pass looks for workers to reserve that are not free yet.
-	preemptionsLeft int
 	// victims holds the urgency of the steps whose runs were considered for preemption.
 	victims map[mill.StepID]plan.Urgency
 }
@@ -39,7 +37,6 @@
 		findPools:        func() map[string]*pool { return s.pools(now) },
 		idleAddresses:    addresses,
 		reservationsLeft: len(addresses) + extraReservations,
-		preemptionsLeft:  maxPreemptions,
 		victims:          make(map[mill.StepID]plan.Urgency),
 	}
 }
@@ -58,8 +55,10 @@
 	// free is the free capacity of all workers together, and capacity their total.
 	free     mill.Resources
 	capacity mill.Resources
-	// reservedWorkers counts the workers that this pass reserves for large tasks.
-	reservedWorkers int
+	// reservedWorkers counts the workers that this pass reserves for large tasks, and reservationSearches the steps for which
+	// it has looked for such workers.
+	reservedWorkers     int
+	reservationSearches int
 	// isolatingWorkers counts the workers with a suspected task that take no other new runs.
 	isolatingWorkers int
 }
--- a/internal/lead/preempt.go
+++ b/internal/lead/preempt.go
@@ -13,9 +13,9 @@
 // tasks at a time: its free capacity is idle meanwhile.
 const reservedShare = 4
 
-// maxPreemptions is for how many steps a plan looks for workers to reserve that are not free yet. Each looks at a whole
-// pool, and together they may take about as long as the rest of a plan.
-const maxPreemptions = 24
+// maxReservationSearches is for how many steps of a pool a plan looks for workers to reserve. Each looks at the whole pool,
+// and together they may take about as long as the rest of a plan.
+const maxReservationSearches = 24
 
 // maxIdleReservation is how soon a worker must have enough free capacity to be reserved for a step
 // that is not starving: its capacity is then idle only briefly.
@@ -42,11 +42,12 @@
 		count = len(c.waiting)
 	}
 
-	if count > available || p.preemptionsLeft == 0 || !isLarge(c.step.Reserves(), pool.minCapacity) {
+	searched := pool.reservationSearches == maxReservationSearches
+	if count > available || searched || !isLarge(c.step.Reserves(), pool.minCapacity) {
 		return
 	}
 
-	p.preemptionsLeft--
+	pool.reservationSearches++
 
 	chosen := s.earliestReservations(c, p, pool.workers, count)
 	if len(chosen) < count || !c.urgency.Starving() && chosen[count-1].wait > maxIdleReservation {
