--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -52,19 +52,27 @@
 		duration  = 20
 	)
 
+	if number > 1 {
+		time.Sleep(upkeepTime + beatInterval) // The machines of the wave before are back by then.
+	}
+
 	// The machine with less to do is drained first. Its task is still at work when its upkeep is due.
-	jobs := map[string]job{
-		fmt.Sprintf("%016x", 0xa0+number): jobWith(20*time.Second, 1000, "left"),
-		fmt.Sprintf("%016x", 0xb0+number): jobWith(5500*time.Millisecond, 8000, "right"),
+	long, short := fmt.Sprintf("%016x", 0xa0+number), fmt.Sprintf("%016x", 0xb0+number)
+
+	if err := s.submit(long, jobWith(20*time.Second, 1000, "left")); err != nil {
+		return err
 	}
-	for id, body := range jobs {
-		if err := s.submit(id, body); err != nil {
-			return err
-		}
 
-		if _, err := s.awaitStart(id); err != nil {
-			return err
-		}
+	if _, err := s.awaitStart(long); err != nil {
+		return err
+	}
+
+	if err := s.submit(short, jobWith(5500*time.Millisecond, 8000, "right")); err != nil {
+		return err
+	}
+
+	if _, err := s.awaitStart(short); err != nil {
+		return err
 	}
 
 	time.Sleep(leaderAge)
@@ -74,12 +82,10 @@
 		return err
 	}
 
-	wave := map[string]any{"wave": number, "machines": []string{"m-left", "m-right"}, "duration_s": duration, "max_count": 1}
-	if got := call(http.MethodPost, s.control(leader), "/cranberrymill/wave-start", nil, wave, time.Second); !got.ok() {
-		return fmt.Errorf("%w: wave got status %d", errNotMet, got.status)
+	if err := s.startWave(number, 1, duration, "m-left", "m-right"); err != nil {
+		return err
 	}
 
-	s.record.logf("operator: wave %d is acknowledged", number)
 	time.Sleep(time.Second)
 
 	if trouble {
@@ -88,15 +94,186 @@
 		s.thaw(leader)
 	}
 
-	return eventually((duration+5)*time.Second, "the wave is not completed", func() bool {
+	return s.awaitWave(number, duration)
+}
+
+// addedCase plays a wave, adds a machine, and plays a wave of that machine.
+func addedCase(record *recorder, trouble bool) ([]string, error) {
+	const (
+		// machines is such that one more is within the share of 0.25 that may be added.
+		machines  = 4
+		leaderAge = 3500 * time.Millisecond
+		duration  = 10
+		added     = "m-added"
+	)
+
+	s, err := newScene(record, 1)
+	if s != nil {
+		defer s.close()
+	}
+
+	if err != nil {
+		return nil, err
+	}
+
+	s.provider.limit = 1
+
+	for i := range machines {
+		if err := s.provider.add(fmt.Sprintf("m-%d", i), s.addExecutor([]string{"a", "r1-1"}, 16000)); err != nil {
+			return nil, err
+		}
+	}
+
+	add := func() error {
+		record.logf("provider: %s is added", added)
+
+		return s.provider.add(added, s.addExecutor([]string{"a", "r1-1"}, 16000))
+	}
+
+	if !trouble {
+		if err := add(); err != nil {
+			return nil, err
+		}
+	}
+
+	time.Sleep(leaderAge)
+
+	if err := s.startWave(1, 1, duration, "m-0"); err != nil {
+		return nil, err
+	}
+
+	if err := s.awaitWave(1, duration); err != nil {
+		return nil, err
+	}
+
+	if trouble {
+		if err := add(); err != nil {
+			return nil, err
+		}
+	}
+
+	time.Sleep(upkeepTime + 2*beatInterval)
+
+	if err := s.startWave(2, 1, duration, added); err != nil {
+		return nil, err
+	}
+
+	if err := s.awaitWave(2, duration); err != nil {
+		return nil, err
+	}
+
+	// An order that is under way arrives meanwhile.
+	time.Sleep(10 * time.Second)
+
+	if s.provider.hasHad(added, 2) {
+		return nil, nil
+	}
+
+	return []string{fmt.Sprintf("MIXED: wave 2 is said to be completed, and its machine %s, which stays, has not begun its upkeep",
+		added)}, nil
+}
+
+// startWave has the operator start a wave of some machines, of which so many may be down at once.
+func (s *scene) startWave(number, most, duration int, machines ...string) error {
+	leader, err := s.leader()
+	if err != nil {
+		return err
+	}
+
+	wave := map[string]any{"wave": number, "machines": machines, "duration_s": duration, "max_count": most}
+	if got := call(http.MethodPost, s.control(leader), "/cranberrymill/wave-start", nil, wave, time.Second); !got.ok() {
+		return fmt.Errorf("%w: wave got status %d", errNotMet, got.status)
+	}
+
+	s.record.logf("operator: wave %d of %v is acknowledged", number, machines)
+
+	return nil
+}
+
+// awaitWave asks for the state of a wave until it is completed.
+func (s *scene) awaitWave(number, duration int) error {
+	return eventually(time.Duration(duration+5)*time.Second, "the wave is not completed", func() bool {
 		time.Sleep(500 * time.Millisecond)
 
 		got := call(http.MethodGet, s.control(s.cores[0]), fmt.Sprintf("/cranberrymill/wave-get/%d", number), nil, nil, time.Second)
+		s.record.logf("operator: GET of wave %d got status %d: %s", number, got.status, bytes.TrimSpace(got.body))
 
 		return bytes.Contains(got.body, []byte("completed"))
 	})
 }
 
+// servingCase has a wave take down the machines on which the tasks of one step are at work, of which one may be away. With
+// trouble, there was a wave before.
+func servingCase(record *recorder, trouble bool) ([]string, error) {
+	const (
+		machines  = 4
+		leaderAge = 3500 * time.Millisecond
+		duration  = 20
+	)
+
+	s, err := newScene(record, 1)
+	if s != nil {
+		defer s.close()
+	}
+
+	if err != nil {
+		return nil, err
+	}
+
+	s.provider.limit = machines
+
+	var all []string
+
+	for i := range machines {
+		all = append(all, fmt.Sprintf("m-%d", i))
+
+		if err := s.provider.add(all[i], s.addExecutor([]string{"a", "r1-1"}, 16000)); err != nil {
+			return nil, err
+		}
+	}
+
+	time.Sleep(leaderAge)
+
+	if trouble {
+		if err := s.startWave(1, machines, duration, all...); err != nil {
+			return nil, err
+		}
+
+		if err := s.awaitWave(1, duration); err != nil {
+			return nil, err
+		}
+	}
+
+	time.Sleep(upkeepTime + 2*beatInterval)
+
+	id := "0000000000000fa1"
+	body := job{Spec: "lasts", Steps: []step{{
+		Count: machines, CPU: 1000, Memory: 64, Estimate: 60000, LongRunning: true, AntiAffinity: 1, MayMiss: 1,
+	}}}
+
+	if err := s.submit(id, body); err != nil {
+		return nil, err
+	}
+
+	if _, err := s.awaitRun(id, machines); err != nil {
+		return nil, err
+	}
+
+	time.Sleep(5 * time.Second)
+
+	if err := s.startWave(2, machines, duration, all...); err != nil {
+		return nil, err
+	}
+
+	if err := s.awaitWave(2, duration); err != nil {
+		return nil, err
+	}
+
+	time.Sleep(time.Second)
+
+	return s.history.endedTogether(id, startup), nil
+}
+
 // leaveCase has an executor leave while a task runs on it, and loses the answer to its DELETE.
 func leaveCase(record *recorder, trouble bool) ([]string, error) {
 	s, err := newScene(record, 1)
@@ -416,10 +593,10 @@
 	const (
 		// executors is such that one of them is within the share of 0.14 that may be lost.
 		executors = 8
-		jobs      = 40
+		jobs      = 4
 		// settledAfter is visible_ms + 2 s.
 		settledAfter = 5 * time.Second
-		askFor       = 9 * time.Second
+		askFor       = 14 * time.Second
 	)
 
 	s, err := newScene(record, 1)
--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -179,8 +179,12 @@
 func (c *cluster) freeze(m *machine) {
 	c.record.logf("freeze %s", m.name)
 	_ = m.command.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(stopDelay)
 }
 
+// stopDelay is how long it may take until all threads of a process stand still.
+const stopDelay = 100 * time.Millisecond
+
 func (c *cluster) thaw(m *machine) {
 	_ = m.command.Process.Signal(syscall.SIGCONT)
 	c.record.logf("thaw %s", m.name)
--- a/review/stand/executor.go
+++ b/review/stand/executor.go
@@ -64,6 +64,9 @@
 	// leaveControls are those for its last call; nil means the same.
 	leaveControls func() []string
 
+	// onDone, unless nil, is called when a run is done, before its end can be read.
+	onDone func(l *life, run *activeRun)
+
 	mu      sync.Mutex
 	changed *sync.Cond
 	life    *life
@@ -271,6 +274,10 @@
 			case run.failsAfter > 0 && !run.stopping && time.Since(run.began) >= run.failsAfter:
 				e.finish(l, run, "failed")
 			case !run.lasts && !run.stopping && time.Since(run.began) >= run.work:
+				if e.onDone != nil {
+					e.onDone(l, run)
+				}
+
 				e.finish(l, run, "done")
 			default:
 			}
--- a/review/stand/history.go
+++ b/review/stand/history.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -123,3 +124,42 @@
 
 	return r.ended
 }
+
+// endedTogether describes the runs of a job that ended with their machine while another task of the job was away: ended
+// so, and not at work again since.
+func (h *history) endedTogether(job string, startup time.Duration) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	var found []string
+
+	for _, r := range h.runs {
+		if jobOf(r.task) != job || r.how != "left" {
+			continue
+		}
+
+		for _, other := range h.runs {
+			if jobOf(other.task) != job || other.how != "left" || other.task == r.task || other.ended.After(r.ended) {
+				continue
+			}
+
+			if !h.atWork(other.task, r.ended, startup) {
+				found = append(found, fmt.Sprintf("AVAIL: the upkeep of %s ends %s at work, while %s is away; may_miss is 1",
+					r.executor, r.task, other.task))
+			}
+		}
+	}
+
+	return found
+}
+
+// atWork reports whether a task was at work at a time. The caller holds the lock.
+func (h *history) atWork(task string, at time.Time, startup time.Duration) bool {
+	for _, r := range h.runs {
+		if r.task == task && r.began.Add(startup).Before(at) && (r.ended.IsZero() || r.ended.After(at)) {
+			return true
+		}
+	}
+
+	return false
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,10 @@
 	"count":  countCase,
 	"bytes":  bytesCase,
 	"watch":  watchCase,
+	"added":  addedCase,
+	"serve":  servingCase,
+	"cancel": cancelCase,
+	"unread": unreadCase,
 }
 
 func main() {
--- a/review/stand/provider.go
+++ b/review/stand/provider.go
@@ -145,6 +145,20 @@
 	}
 }
 
+// hasHad reports whether a machine has begun its upkeep for a wave.
+func (p *provider) hasHad(machine string, wave int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for _, m := range p.machines {
+		if m.id == machine {
+			return m.upkeeps[wave]
+		}
+	}
+
+	return false
+}
+
 // breach records that a rule was broken. The caller holds the lock.
 func (p *provider) breach(format string, arguments ...any) {
 	text := fmt.Sprintf(format, arguments...)
--- a/review/stand/scene.go
+++ b/review/stand/scene.go
@@ -47,7 +47,7 @@
 		return s, err
 	}
 
-	return s, s.configure()
+	return s, s.configure(7, prefix)
 }
 
 // close ends everything that the scene has started.
@@ -63,14 +63,19 @@
 	}
 }
 
-// configure sends the manifest until it is acknowledged.
-func (s *scene) configure() error {
-	manifest := map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "contracts", "host": hostName, "path_prefix": prefix, "kind": "unsafe", "timeout_ms": 3000,
+// configure sends a manifest with routes for the given prefixes until it is acknowledged.
+func (s *scene) configure(version int, prefixes ...string) error {
+	routes := make([]any, 0, len(prefixes))
+	for _, path := range prefixes {
+		routes = append(routes, map[string]any{
+			"name": "r" + path[1:len(path)-1], "host": hostName, "path_prefix": path, "kind": "unsafe", "timeout_ms": 3000,
 			"target_latency_ms": 1200, "priority": 1, "service": serviceName, "max_attempts": maxAttempts, "stretch": 4.0,
-		}},
+		})
+	}
+
+	manifest := map[string]any{
+		"version": version,
+		"routes":  routes,
 		"services": []any{map[string]any{
 			"name": serviceName, "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": false,
 			"enforces_capacity": false, "spare": false,
@@ -83,7 +88,7 @@
 	return eventually(15*time.Second, "the manifest is not acknowledged", func() bool {
 		for _, m := range s.cores {
 			if call(http.MethodPut, s.control(m), "/cranberrymill/config", nil, manifest, time.Second).ok() {
-				s.record.logf("manifest is acknowledged")
+				s.record.logf("manifest %d is acknowledged", version)
 
 				return true
 			}
@@ -124,6 +129,7 @@
 	Requirements string `json:"requirements,omitempty"`
 	LongRunning  bool   `json:"long_running,omitempty"`
 	AntiAffinity int    `json:"anti_affinity,omitempty"`
+	MayMiss      int    `json:"may_miss,omitempty"`
 }
 
 // jobWith returns a job with one task that works for the given time.
