Show a wave that is completed without the upkeep of its machine

A machine that is added after a wave is not in the list that the scheduler keeps from then. The next wave takes it for one that no longer exists, and is said to be completed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/target/stand ] && [ -x target/cranberrymill ] || { echo "build first: deploy/system.toml, review/build.sh"; exit 2; }
-exec review/target/stand wave review/5/record.txt
+exec review/target/stand added review/5/record.txt
