Keep what cannot be read back out of the log

Callers saw jobs accepted with 200 that stayed queued for as long as another writer reported a worker under an id that is not UTF-8, with all workers empty.

Cause: the adapter checks the length of a worker's id only. The leader records the worker in the log entry that also holds its placements and finished runs; CBOR encodes the id and refuses to decode it, so every replica skips the whole entry, and the leader proposes the same again.

Fix: ids and bodies that are not UTF-8 are answered 400 at the boundary. Besides, each entry is decoded before it is proposed, and commands that cannot be decoded are left out by themselves, so that whatever else may come holds up only itself.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -441,7 +441,7 @@
 
 // propose proposes the commands as one log entry, and calls done with their results once it is committed.
 func (c *Core) propose(commands []jobs.Command, done func(results []jobs.Result, err error)) {
-	data, err := wire.Encode(&jobs.Batch{Commands: commands})
+	data, unreadable, err := jobs.EncodeBatch(commands)
 	if err != nil {
 		done(nil, err)
 
@@ -453,11 +453,17 @@
 	c.host.Propose(data, func(err error) {
 		c.commitLatency.RecordDuration(time.Since(start))
 
-		if err == nil && len(c.stateMachine.results) != len(commands) {
+		if err == nil && len(c.stateMachine.results)+len(unreadable) != len(commands) {
 			err = merry.Prepend(mill.ErrUnavailable, "the committed log entry could not be decoded", merry.NoCaptureStack())
 		}
 
-		done(c.stateMachine.results, err)
+		if err != nil {
+			done(nil, err)
+
+			return
+		}
+
+		done(jobs.InsertUnreadable(c.stateMachine.results, unreadable), nil)
 	})
 }
 
@@ -474,6 +480,10 @@
 
 	select {
 	case result := <-reply:
+		if result.err == nil && slices.Contains(result.results, jobs.ResultUnreadable) {
+			return nil, merry.Prepend(mill.ErrInvalid, "the request holds text that is not UTF-8", merry.NoCaptureStack())
+		}
+
 		return result.results, result.err
 	case <-ctx.Done():
 		return nil, merry.Prepend(mill.ErrUnavailable, ctx.Err().Error(), merry.NoCaptureStack())
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -19,11 +19,6 @@
 	SettleMachine *SettleMachine `cbor:"9,keyasint,omitempty"`
 }
 
-// Batch is the content of one entry of the replicated log.
-type Batch struct {
-	Commands []Command `cbor:"1,keyasint"`
-}
-
 // Submit accepts a job under an id chosen by the caller.
 type Submit struct {
 	Job   string        `cbor:"1,keyasint"`
@@ -77,4 +72,6 @@
 	ResultNoQueue
 	// ResultNotFound means that the job is unknown.
 	ResultNotFound
+	// ResultUnreadable means that the command was not logged because it could not be decoded again.
+	ResultUnreadable
 )
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -184,7 +184,9 @@
 		s.workerRestarted(w, status.ClockMilli, at)
 	}
 
-	w.recordCurrent = w.recordCurrent && w.status.SameStableFields(status)
+	unchanged := w.status.SameStableFields(status)
+	w.recordCurrent = w.recordCurrent && unchanged
+	w.unrecordable = w.unrecordable && unchanged
 	w.status = *status
 	w.statusSentAt = w.sentAt(status, at)
 
@@ -434,6 +436,12 @@
 // then dropped, and their finished runs are proposed again.
 func (s *Scheduler) Committed(commands []jobs.Command, results []jobs.Result, err error, now time.Time) {
 	for i := range commands {
+		if err == nil && results[i] == jobs.ResultUnreadable {
+			s.commandUnreadable(&commands[i], now)
+
+			continue
+		}
+
 		switch {
 		case commands[i].Place != nil:
 			s.placementCommitted(commands[i].Place, err == nil && results[i] == jobs.ResultApplied, now)
@@ -448,6 +456,30 @@
 	}
 }
 
+// commandUnreadable drops what a worker has sent that cannot be logged, so that it is not proposed again.
+func (s *Scheduler) commandUnreadable(command *jobs.Command, now time.Time) {
+	switch {
+	case command.Place != nil:
+		if r, ok := s.runs[command.Place.Task]; ok {
+			r.worker.health.Quarantine(now)
+		}
+
+		s.placementCommitted(command.Place, false, now)
+	case command.Finish != nil:
+		if r, ok := s.runs[command.Finish.Task]; ok {
+			r.checkpoint = ""
+		}
+
+		s.finishCommitted(command.Finish, false, now)
+	case command.RecordWorker != nil:
+		if w, ok := s.workers[command.RecordWorker.ID]; ok {
+			w.recording = false
+			w.unrecordable = true
+		}
+	default:
+	}
+}
+
 func (s *Scheduler) placementCommitted(place *jobs.Place, applied bool, now time.Time) {
 	r, ok := s.runs[place.Task]
 	if !ok || r.number != place.Run || r.phase != runProposed {
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -106,6 +106,8 @@
 	shedsStops bool
 	// provider is nil in simulations without maintenance waves.
 	provider *provider
+	// unreadable selects the commands that cannot be logged; nil for none.
+	unreadable func(command *jobs.Command) bool
 	// withoutReports makes new leaders begin before any worker has reported to them.
 	withoutReports bool
 	// choices numbers the decisions that are derived from a hash instead of the test's seed.
@@ -332,6 +334,12 @@
 	results := make([]jobs.Result, 0, len(commands))
 
 	for i := range commands {
+		if sim.unreadable != nil && sim.unreadable(&commands[i]) {
+			results = append(results, jobs.ResultUnreadable)
+
+			continue
+		}
+
 		result := sim.state.Apply(&commands[i])
 		results = append(results, result)
 
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -16,8 +16,10 @@
 	// change of it is being committed.
 	recorded  *mill.WorkerStatus
 	recording bool
-	// recordCurrent says that the record was compared with the latest status and needs no change.
+	// recordCurrent says that the record was compared with the latest status and needs no change, unrecordable that this
+	// status cannot be logged.
 	recordCurrent bool
+	unrecordable  bool
 	// lastHeard is when the worker last reported or answered; zero while it is known only from the
 	// state.
 	lastHeard time.Time
--- a/internal/lead/worker_records.go
+++ b/internal/lead/worker_records.go
@@ -47,7 +47,7 @@
 // recordDue returns the command that brings the worker's record up to date, if one is due.
 func (w *worker) recordDue(id string) (command jobs.Command, due bool) {
 	switch leaving := w.gone || !w.leavingSince.IsZero(); {
-	case w.recording:
+	case w.recording, w.unrecordable:
 		return jobs.Command{}, false
 	case leaving:
 		return jobs.Command{ForgetWorker: id}, w.recorded != nil && len(w.runs) == 0
--- a/pkg/mill/worker_status.go
+++ b/pkg/mill/worker_status.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -89,14 +90,35 @@
 	}
 
 	for _, text := range append([]string{s.ID, s.Service, s.DataCentre, s.Rack}, s.Labels...) {
-		if len(text) > MaxStatusText {
-			return merry.Prependf(ErrInvalid, "%.64q and %d bytes more: want at most %d bytes", text, len(text)-64, MaxStatusText)
+		if err := validateStatusText(text); err != nil {
+			return err
 		}
 	}
 
 	return nil
 }
 
+// ValidateWorkerID returns ErrInvalid for an id that no worker has.
+func ValidateWorkerID(id string) error {
+	if id == "" {
+		return merry.Prepend(ErrInvalid, "worker id is empty: want the id in the worker's reports")
+	}
+
+	return validateStatusText(id)
+}
+
+func validateStatusText(text string) error {
+	if len(text) > MaxStatusText {
+		return merry.Prependf(ErrInvalid, "%.64q and %d bytes more: want at most %d bytes", text, len(text)-64, MaxStatusText)
+	}
+
+	if !utf8.ValidString(text) {
+		return merry.Prependf(ErrInvalid, "%q: want UTF-8", text)
+	}
+
+	return nil
+}
+
 // NewerThan reports whether s was sent after other, by the same worker.
 func (s *WorkerStatus) NewerThan(other *WorkerStatus) bool {
 	if s.StartUnixMilli != other.StartUnixMilli {
