Take no run for ended because its worker has announced its shutdown

Callers saw a task at work on two workers: on one whose answer to its DELETE was lost, so that it ran on, and on the one where the task had been started 0.2 s after that DELETE.

Cause: Scheduler.expireRuns finished all runs of a worker 150 ms after any process had read its announcement. That message does not tell whether the worker got the answer, when it ends, or which incarnation it speaks of.

Fix: an announcement stops new work and lease extensions only. The runs have ended when the worker's list says so, when another incarnation or worker answers, when its host refuses the connection after an announcement (new outcome notListening), or when its leases have expired. Start orders that are due for such a worker are withdrawn.

The simulated worker now runs on for up to 3 s after its announcement, and TestFuzzScheduler draws shutdowns. That reached a boundary in checkCapacity: a capacity that shrank at the very start of the simulation did not count as an earlier one for an order that was carried out late, though such orders are exempt. The exemption now begins one step earlier; no other order is affected.

--- a/internal/lead/bounds.go
+++ b/internal/lead/bounds.go
@@ -82,8 +82,6 @@
 	maxReportWait = 1200 * time.Millisecond
 	// minRenewInterval is the least time between two renewals of one worker: each is paid for.
 	minRenewInterval = 25 * time.Millisecond
-	// leaveDelay is how long a worker may take to exit after it has announced its shutdown.
-	leaveDelay = 150 * time.Millisecond
 	// takeoverMargin covers the time for which an earlier leader may have acted without knowing
 	// that it was replaced: an election timeout.
 	takeoverMargin = time.Second
--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -128,20 +128,39 @@
 	}
 }
 
-// leave announces that the worker is shutting down, and ends it before the leader counts on that.
+// leave announces that the worker is shutting down. If the answer is lost, it runs on for some seconds. Now and then the
+// announcement arrives once more, late.
 func (e *executor) leave() {
+	if e.sim.flip("announcement repeated") {
+		e.sim.after(time.Duration(1+e.sim.choices%40)*100*time.Millisecond, e.announceShutdown)
+	}
+
+	after := 3 * simStep
+	if e.sim.flip("answer lost") {
+		after = time.Duration(1+e.sim.choices%30) * 100 * time.Millisecond
+	}
+
+	e.leaveAfter(after)
+}
+
+// leaveAfter announces that the worker is shutting down, and ends it some time later.
+func (e *executor) leaveAfter(after time.Duration) {
 	incarnation := e.startedAt
 	e.leaving = true
-	e.returnsAt = e.sim.now.Add(2 * minRestartTime)
+	e.returnsAt = e.sim.now.Add(after + 2*minRestartTime)
 
-	e.sim.leader.scheduler.WorkerLeaving(e.id, e.sim.now)
-	e.sim.after(leaveDelay-2*simStep, func() {
-		if e.startedAt.Equal(incarnation) {
+	e.announceShutdown()
+	e.sim.after(after, func() {
+		if e.up && e.startedAt.Equal(incarnation) {
 			e.crash()
 		}
 	})
 }
 
+func (e *executor) announceShutdown() {
+	e.sim.leader.scheduler.WorkerLeaving(e.id, e.sim.now)
+}
+
 func (e *executor) status() *mill.WorkerStatus {
 	e.sequence++
 
--- a/internal/lead/fuzz_test.go
+++ b/internal/lead/fuzz_test.go
@@ -34,6 +34,7 @@
 			"sick":   draw.toggleFault,
 			"faults": draw.faults,
 			"resize": draw.resize,
+			"leave":  draw.leave,
 		})
 
 		sim.recoverAndCheck(90 * time.Second)
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -120,7 +120,7 @@
 func (sim *simulation) checkCapacity(e *executor, task mill.TaskID, late bool) {
 	since := sim.now.Add(-simContact - simReportInterval)
 	if late {
-		since = simStart
+		since = simStart.Add(-simStep) // A capacity that shrank before the first step counted until then.
 	}
 
 	if used := e.used(); !e.hadCapacity(used, since) {
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -34,22 +34,27 @@
 	}
 }
 
-// withdrawStarts withdraws the start orders that are due for workers whose capacity is not known any more, or has
-// shrunk since the placement so that the runs exceed it, until the others fit.
+// withdrawStarts withdraws the start orders that are due for workers that are shutting down, whose capacity is not known
+// any more, or whose capacity has shrunk since the placement so that the runs exceed it, until the others fit.
 func (s *Scheduler) withdrawStarts(now time.Time) {
 	for _, w := range s.workersByID() {
-		if s.fitsRuns(w, now) {
+		if s.takesRuns(w, now) {
 			continue
 		}
 
 		for _, r := range w.runsByTask() {
-			if r.phase == runStarting && !r.stopping && !r.startInFlight && !s.fitsRuns(w, now) {
+			if r.phase == runStarting && !r.stopping && !r.startInFlight && !s.takesRuns(w, now) {
 				s.withdrawStart(r, now)
 			}
 		}
 	}
 }
 
+// takesRuns reports whether the runs that are placed on a worker may be started there.
+func (s *Scheduler) takesRuns(w *worker, now time.Time) bool {
+	return len(w.runs) == 0 || !w.leaving() && s.fitsRuns(w, now)
+}
+
 // fitsRuns reports whether a worker is known to have the capacity for the runs that are or may be active on it.
 func (s *Scheduler) fitsRuns(w *worker, now time.Time) bool {
 	return len(w.runs) == 0 || s.capacityKnown(w, now) && w.used.Fits(w.status.Capacity)
@@ -181,9 +186,9 @@
 		order.Acknowledged = w.committedThrough
 	}
 
-	// A worker that does not answer gets no longer lease: its leases have to expire before its
-	// tasks can run elsewhere.
-	if holding && w.failedRenewals == 0 && w.clock.known() {
+	// A worker that does not answer, or is shutting down, gets no longer lease: its leases have to expire before
+	// its tasks can run elsewhere.
+	if holding && w.failedRenewals == 0 && !w.leaving() && w.clock.known() {
 		order.LeaseExpiryMilli = w.extendLease(now, s.bounds.Lease())
 	}
 
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -31,7 +31,7 @@
 		r.stopAcknowledged = true
 	case mill.OutcomeUnanswered, mill.OutcomeFenced:
 		s.retryStart(r, now)
-	case mill.OutcomeUnreachable:
+	case mill.OutcomeUnreachable, mill.OutcomeNotListening:
 		s.retryUnreachable(r, now)
 	case mill.OutcomeNotSent:
 		r.startAttempts-- // It was no attempt, and says nothing about the worker.
@@ -122,7 +122,7 @@
 // StopAnswered records a worker's reply to a stop order.
 func (s *Scheduler) StopAnswered(stop *Stop, reply mill.OrderReply, now time.Time) {
 	switch reply.Outcome {
-	case mill.OutcomeUnanswered, mill.OutcomeUnreachable:
+	case mill.OutcomeUnanswered, mill.OutcomeUnreachable, mill.OutcomeNotListening:
 		return
 	default:
 	}
@@ -195,10 +195,15 @@
 	case mill.OutcomeWorkerReplaced:
 		s.workerReplaced(w)
 
+		return
+	case mill.OutcomeNotListening:
+		// A worker that has announced its shutdown and whose host refuses connections has ended.
+		w.gone = w.gone || w.leaving()
+		w.renewalFailed(now)
+
 		return
 	default:
-		w.failedRenewals++
-		w.nextRenewal = now.Add(retryDelay)
+		w.renewalFailed(now)
 
 		return
 	}
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -212,6 +212,7 @@
 func (s *Scheduler) workerRestarted(w *worker, clockMilli int64, now time.Time) {
 	s.recordCrash(w)
 
+	w.leavingSince = time.Time{} // It was the earlier incarnation that left.
 	w.restarts++
 	w.clock = clock{}
 	w.leaseEndMilli = clockMilli + s.bounds.MaxLease.Milliseconds()
@@ -231,12 +232,16 @@
 	}
 }
 
-// WorkerLeaving records that a worker has announced that it is shutting down.
+// WorkerLeaving records that a worker has announced that it is shutting down. It may take some seconds to end, and the
+// announcement may be late, and that of an earlier incarnation: the next renewals show what has become of its runs.
 func (s *Scheduler) WorkerLeaving(id string, now time.Time) {
 	w, ok := s.workers[id]
-	if ok && w.leavingSince.IsZero() {
-		w.leavingSince = now
+	if !ok || w.leaving() {
+		return
 	}
+
+	w.leavingSince = now
+	w.nextRenewal = now
 }
 
 // AdvisorReachable records that the advisor can be reached through the process at an address.
@@ -301,7 +306,7 @@
 			continue
 		}
 
-		if w.gone || (!w.leavingSince.IsZero() && now.Sub(w.leavingSince) > leaveDelay) || s.leasesExpired(w, now) {
+		if w.gone || s.leasesExpired(w, now) {
 			s.finishRuns(w, mill.FinishLeaseExpired)
 		}
 	}
--- a/internal/lead/transport_test.go
+++ b/internal/lead/transport_test.go
@@ -38,6 +38,12 @@
 		sim.after(defaultOrderTimeout, func() { answer(mill.OutcomeUnanswered) })
 	default:
 		sim.after(delay, func() {
+			if !e.up && !e.disconnected && !e.mute && sim.flip("refused") {
+				sim.after(delay, func() { answer(mill.OutcomeNotListening) })
+
+				return
+			}
+
 			if !e.reachable() {
 				sim.after(defaultOrderTimeout, func() { answer(mill.OutcomeUnanswered) })
 
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -161,9 +161,21 @@
 	return w.sortedRuns
 }
 
+// leaving reports whether the worker has announced that it is shutting down, and has not reported since. It may run on
+// for some seconds, above all if it gets no answer to that.
+func (w *worker) leaving() bool {
+	return !w.leavingSince.IsZero()
+}
+
+// renewalFailed records a renewal that was not answered or refused.
+func (w *worker) renewalFailed(now time.Time) {
+	w.failedRenewals++
+	w.nextRenewal = now.Add(retryDelay)
+}
+
 // usable reports whether the worker may be given new work.
 func (w *worker) usable(now time.Time) bool {
-	if w.gone || !w.leavingSince.IsZero() || w.lastHeard.IsZero() || w.status.Draining || !w.clock.known() {
+	if w.gone || w.leaving() || w.lastHeard.IsZero() || w.status.Draining || !w.clock.known() {
 		return false
 	}
 
--- a/pkg/mill/orders.go
+++ b/pkg/mill/orders.go
@@ -62,11 +62,14 @@
 	OutcomeUnreachable
 	// OutcomeNotSent means the same, but for a reason that says nothing about the worker.
 	OutcomeNotSent
+	// OutcomeNotListening means the same as OutcomeUnreachable, and that the worker's host has refused the connection, since
+	// no process listens at the address.
+	OutcomeNotListening
 )
 
 var orderOutcomeNames = [...]string{
 	"unanswered", "accepted", "fenced", "ended", "late", "noRoom", "noTicket", "unhealthy", "gone", "invalid",
-	"unreachable", "notSent",
+	"unreachable", "notSent", "notListening",
 }
 
 // Stopped reports whether a worker that replies so to a stop order has stopped the run, or is about to. Any other reply
