Give a worker that has started again a fencing token at once

Callers saw a task run again seconds after it had completed and its end was acknowledged: a start order without an answer reached the next incarnation of its worker.

Cause: a worker knows no token after a restart, and an idle one got none until it was given work, so that it carried out any order, however old.

Fix: a restart under the same id makes a renewal due that carries the token, also if a new leader sees it by the recorded incarnation. It costs one call for each restart.

What remains: an order that arrives before the first report of the new incarnation has been answered.

--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -248,12 +248,16 @@
 const acknowledgeDelay = 300 * time.Millisecond
 
 // callDue reports whether the worker has to be called though it has no runs: to acknowledge finished
-// runs, to find out whether runs that the state does not know have ended, or, within a second after it
-// was last heard, to retry a failed renewal.
+// runs, to give a restarted worker a fencing token, to find out whether runs that the state does not know
+// have ended, or, within a second after it was last heard, to retry a failed renewal.
 func (w *worker) callDue(now time.Time) bool {
 	if w.failedRenewals > 0 {
 		return now.Sub(w.lastHeard) < time.Second
 	}
 
-	return w.hasUnknownRuns || w.acknowledgedThrough < w.committedThrough && now.Sub(w.nextRenewal) > acknowledgeDelay
+	if w.unfenced || w.hasUnknownRuns {
+		return true
+	}
+
+	return w.acknowledgedThrough < w.committedThrough && now.Sub(w.nextRenewal) > acknowledgeDelay
 }
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -209,6 +209,7 @@
 	}
 
 	w.contacted = true
+	w.unfenced = false
 	w.freshReport = true
 	w.mayHoldInherited = false
 	w.failedRenewals = 0
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -180,9 +180,7 @@
 		return
 	}
 
-	if !w.lastHeard.IsZero() && status.StartUnixMilli != w.status.StartUnixMilli {
-		s.workerRestarted(w, status.ClockMilli, at)
-	}
+	s.noticeRestart(w, status, at)
 
 	unchanged := w.status.SameStableFields(status)
 	w.recordCurrent = w.recordCurrent && unchanged
@@ -206,6 +204,22 @@
 	}
 }
 
+// noticeRestart handles a status of another incarnation than the known one. What an earlier leader knew of that one is in
+// the state, and this leader has nothing to conclude from its end.
+func (s *Scheduler) noticeRestart(w *worker, status *mill.WorkerStatus, at time.Time) {
+	if status.StartUnixMilli == w.status.StartUnixMilli {
+		return
+	}
+
+	if w.lastHeard.IsZero() {
+		w.unfenced = w.recorded != nil
+
+		return
+	}
+
+	s.workerRestarted(w, status.ClockMilli, at)
+}
+
 // workerRestarted records that a worker process has restarted under the same id: its runs are lost.
 // An order may already have reached the new incarnation, with a lease end that was computed on the
 // old incarnation's clock, so the lease is assumed to last for the longest time any lease can.
@@ -220,6 +234,7 @@
 	w.acknowledgedThrough = 0
 	w.listedThrough = 0
 	w.contacted = false
+	w.unfenced = true
 
 	for _, r := range w.runs {
 		switch r.phase {
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -63,8 +63,10 @@
 	committedThrough    uint64
 	acknowledgedThrough uint64
 	listedThrough       uint64
-	// contacted says that the worker has accepted this scheduler's fencing token.
+	// contacted says that the worker has accepted this scheduler's fencing token. unfenced says that it has started again
+	// under its id and knows no token, so that it would carry out a delayed order to its earlier incarnation.
 	contacted bool
+	unfenced  bool
 	// mayHoldInherited says that runs of an earlier leader may be active on the worker, which has
 	// not answered this leader yet.
 	mayHoldInherited bool
