Let no limit of a wave make its number of rounds overflow

Operators would see each leader end in turn: a wave with a max_count near 2^63 is accepted, the number of rounds overflows to 0, and DrainTime divides by it.

Fix: a limit above the number of machines counts as that number. Failed before: plan.TestDrainTime (integer divide by zero).

--- a/internal/plan/maintenance.go
+++ b/internal/plan/maintenance.go
@@ -15,6 +15,7 @@
 // late, given the wave's duration, number of machines and limit of machines at once. In waves with
 // ample time, tasks can then finish instead of being killed.
 func DrainTime(duration time.Duration, machines, maxAtOnce int, maintenance time.Duration) time.Duration {
+	maxAtOnce = min(maxAtOnce, machines) // So that the sum below cannot overflow.
 	rounds := (machines + maxAtOnce - 1) / maxAtOnce
 
 	return min(maxDrainTime, max(0, duration/time.Duration(rounds)-maintenance-maintenanceMargin))
--- a/internal/plan/maintenance_test.go
+++ b/internal/plan/maintenance_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -13,6 +14,8 @@
 	assert.Equal(t, DrainTime(10*time.Second, 20, 4, 2*time.Second), time.Duration(0))
 	assert.Equal(t, DrainTime(20*time.Second, 20, 5, 2*time.Second), 1500*time.Millisecond)
 	assert.Equal(t, DrainTime(time.Hour, 20, 5, 2*time.Second), maxDrainTime)
+	// A limit this large once made the number of rounds overflow, and its division ended each leader in turn.
+	assert.Equal(t, DrainTime(10*time.Second, 20, math.MaxInt, 2*time.Second), maxDrainTime)
 }
 
 // TestMayInterrupt checks that no more tasks of a step become unavailable than it allows.
