Plan no wave with a list of machines from before it

Operators saw a wave "completed" without the maintenance of its machine, which had been added after the wave before; callers saw all tasks of a step with may_miss 1 end within 4 ms when a second wave took the same machines.

Cause: the provider's list was kept from one wave to the next, and the scheduler planned with it while the new one was on its way. Machines that it lacked counted as removed, and those whose worker it named from before their maintenance as idle.

Fix: the scheduler notes when its knowledge of the machines goes out of date (a new wave, the wait of a new leader, a machine that is busy), and concludes nothing from a list that was requested before.

--- a/internal/lead/maintenance.go
+++ b/internal/lead/maintenance.go
@@ -56,28 +56,43 @@
 	}
 
 	for id, m := range s.maintenance {
-		machine, ok := s.machines[id]
-		if !ok || m.startedAt.IsZero() || !requestedAt.After(m.startedAt) {
-			continue
+		if machine, ok := s.machines[id]; ok {
+			s.updateMaintenance(m, &machine, requestedAt)
 		}
+	}
+}
 
-		if machine.State == mill.MachineUp && machine.Worker == m.worker {
-			continue
-		}
+// updateMaintenance compares a machine's maintenance with the provider's list.
+func (s *Scheduler) updateMaintenance(m *maintenance, machine *mill.Machine, requestedAt time.Time) {
+	if !m.ordered {
+		m.worker = machine.Worker // The worker may have crashed, and another one may have started on the machine.
 
-		// The worker that ran on the machine has stopped, with all its runs.
-		if w, known := s.workers[m.worker]; known {
-			w.gone = true
-		}
+		return
+	}
+
+	if m.startedAt.IsZero() || !requestedAt.After(m.startedAt) {
+		return
+	}
+
+	if machine.State == mill.MachineUp && machine.Worker == m.worker {
+		return
+	}
+
+	// The worker that ran on the machine has stopped, with all its runs.
+	if w, known := s.workers[m.worker]; known {
+		w.gone = true
 	}
 }
 
 // planMaintenance adds the actions that the incomplete maintenance waves need now: commands that
 // settle machines, maintenance orders, and a request for the provider's machines. A new leader sends
 // no orders until HolderLease has passed, so that its orders and those of the earlier leader are not
-// taken for two processes that send orders in turn.
+// taken for two processes that send orders in turn. Nothing is concluded from a list that is out of date:
+// it may lack machines of a new wave, or show machines as up that are down.
 func (s *Scheduler) planMaintenance(actions *Actions, now time.Time, state *jobs.State) {
 	waves := state.IncompleteWaves()
+	s.noticeWaves(waves, now)
+
 	if len(waves) == 0 {
 		clear(s.maintenance)
 
@@ -89,7 +104,7 @@
 		actions.ListMachines = true
 	}
 
-	if s.machinesListedAt.IsZero() || now.Sub(s.termStart) < s.bounds.HolderLease {
+	if !s.machinesListedAt.After(s.machinesChangedAt) {
 		return
 	}
 
@@ -110,6 +125,28 @@
 	}
 }
 
+// noticeWaves marks the list of machines as out of date when there is a wave that was not there at the last plan.
+func (s *Scheduler) noticeWaves(waves []*jobs.Wave, now time.Time) {
+	planned := make(map[int]bool, len(waves))
+
+	for _, wave := range waves {
+		planned[wave.Spec.Number] = true
+
+		if !s.plannedWaves[wave.Spec.Number] {
+			s.machinesChanged(now)
+		}
+	}
+
+	s.plannedWaves = planned
+}
+
+// machinesChanged marks the lists of machines that were requested until now as out of date.
+func (s *Scheduler) machinesChanged(now time.Time) {
+	if now.After(s.machinesChangedAt) {
+		s.machinesChangedAt = now
+	}
+}
+
 // advanceWave adds the orders that are due for one wave, and settles machines that no longer exist.
 func (s *Scheduler) advanceWave(actions *Actions, wave *jobs.Wave, now time.Time, state *jobs.State) {
 	for _, id := range wave.Spec.Machines {
@@ -230,6 +267,11 @@
 		return
 	}
 
+	// Since it is drained, no work goes to the worker that the list names, but some may have gone to the one before.
+	if !m.ordered && !s.machinesListedAt.After(m.drainingSince) {
+		return
+	}
+
 	w, known := s.workers[m.worker]
 	busy := known && len(w.runs) > 0
 	drain := plan.DrainTime(wave.Spec.Duration, len(wave.Spec.Machines), wave.Spec.MaxAtOnce, s.bounds.MaintenanceTime)
@@ -269,13 +311,14 @@
 	return true
 }
 
-// unavailableTasks counts the tasks of a step that are not running and ready.
+// unavailableTasks counts the tasks of a step that are not running and ready, as far as their workers answer.
 func (s *Scheduler) unavailableTasks(id mill.StepID, step *mill.Step) int {
 	unavailable := 0
 
 	for index := range step.Count {
 		r, ok := s.runs[id.Task(index)]
-		if !ok || r.phase != runStarted || r.stopping || r.percent < fullPercent || s.mayBeDown(r.worker) {
+		if !ok || r.phase != runStarted || r.stopping || r.percent < fullPercent || r.worker.failedRenewals > 0 ||
+			s.mayBeDown(r.worker) {
 			unavailable++
 		}
 	}
@@ -322,6 +365,7 @@
 		// Another order came first, or the machine is being removed: the next list of machines will
 		// show which.
 		delete(s.maintenance, order.Machine)
+		s.machinesChanged(now)
 	default:
 	}
 }
--- a/internal/lead/maintenance_test.go
+++ b/internal/lead/maintenance_test.go
@@ -29,6 +29,8 @@
 	losesReplies bool
 	orders       int
 	maxDown      int
+	// listDelay is how long the provider takes to answer with a list, which it makes when the request arrives.
+	listDelay time.Duration
 }
 
 func newProvider(sim *simulation) *provider {
@@ -78,13 +80,24 @@
 	old := p.workers[machine]
 	old.up = false
 
-	p.sim.after(simMaintenanceTime, func() {
-		e := &executor{sim: p.sim, id: old.id + "b", address: old.id + "b", capacity: old.capacity, rack: old.rack, up: true}
-		e.restart()
-		p.sim.executors = append(p.sim.executors, e)
-		p.workers[machine] = e
-		p.sim.sendReports(e)
-	})
+	p.sim.after(simMaintenanceTime, func() { p.replaceWorker(machine) })
+}
+
+// replaceWorker starts a new worker on a machine whose worker has ended.
+func (p *provider) replaceWorker(machine string) {
+	old := p.workers[machine]
+	e := &executor{sim: p.sim, id: old.id + "b", address: old.id + "b", capacity: old.capacity, rack: old.rack, up: true}
+	e.restart()
+	p.sim.executors = append(p.sim.executors, e)
+	p.workers[machine] = e
+	p.sim.sendReports(e)
+}
+
+// addMachine adds a machine with a worker.
+func (p *provider) addMachine(index int) {
+	p.sim.addExecutor(index)
+	e := p.sim.executors[len(p.sim.executors)-1]
+	p.workers["m-"+e.id] = e
 }
 
 // down counts the machines of a wave that are down.
@@ -106,7 +119,7 @@
 
 	if actions.ListMachines {
 		list := p.machines()
-		p.sim.after(20*time.Millisecond, func() { scheduler.MachinesListed(list, requestedAt) })
+		p.sim.after(max(p.listDelay, 20*time.Millisecond), func() { scheduler.MachinesListed(list, requestedAt) })
 	}
 
 	for i := range actions.Maintenance {
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -37,10 +37,13 @@
 	// orphans are runs that workers report and that the state does not know.
 	orphans map[mill.RunRef]orphan
 	// machines is the provider's list of machines, requested at machinesListedAt; listingMachines
-	// says that a request for it is outstanding.
-	machines         map[string]mill.Machine
-	machinesListedAt time.Time
-	listingMachines  bool
+	// says that a request for it is outstanding. A list that was requested before machinesChangedAt is out of date.
+	machines          map[string]mill.Machine
+	machinesListedAt  time.Time
+	machinesChangedAt time.Time
+	listingMachines   bool
+	// plannedWaves holds the numbers of the incomplete waves that were there at the last plan.
+	plannedWaves map[int]bool
 	// inMaintenance lists the machines that are in maintenance by the provider's list.
 	inMaintenance []string
 	// maintenance holds the machines that are being drained or are down in a maintenance wave.
@@ -99,6 +102,9 @@
 		advisorAddresses: make(map[string]*advisorAddress),
 		orphans:          make(map[mill.RunRef]orphan),
 		maintenance:      make(map[string]*maintenance),
+		plannedWaves:     make(map[int]bool),
+		// Until then the earlier leader may send maintenance orders.
+		machinesChangedAt: now.Add(bounds.HolderLease),
 
 		waitingSinceFailure: make(map[mill.TaskID]time.Time),
 	}
