Let a leader that was paused act only once it has confirmed that it leads

Operators saw two machines down for a wave that allows one: a leader that had been frozen for 5.5 s woke and ordered the maintenance of a machine while another was down on its successor's order.

Cause: after a pause the goroutines that send orders may run before the one that reads of the new term. Consensus counts ticks, which a suspended VM does not, and takes answers from before the pause for recent ones.

Fix: where an order is sent, the process checks by the clock that goes on during a suspension that it stood still for at most 1 s since it was known to lead, the time for which successors wait. After more it commits an entry first; a new leader does so too. A maintenance order must be answered within HolderLease less that second.

The same check now covers renewals (a late one extended a lease beyond the successor's wait), orders in replies to reports, and reads of job states. Ruled out: a confirmation before each maintenance order, since a pause may come after it too.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -12,6 +12,7 @@
 
 	"github.com/cranberrymill/cranberrymill/internal/drive"
 	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/lead"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/relay"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
@@ -53,9 +54,19 @@
 	}
 }
 
+// leadingRunner returns the runner if this process leads, and has shown so since it last stood still; else nil.
+func (c *Core) leadingRunner() *lead.Runner {
+	runner := c.runner.Load()
+	if runner == nil || !runner.MayAct() {
+		return nil
+	}
+
+	return runner
+}
+
 // checkLeading returns ErrNotPrimary unless this process leads and knows all committed entries.
 func (c *Core) checkLeading() error {
-	if c.runner.Load() == nil {
+	if c.leadingRunner() == nil {
 		return merry.Prepend(mill.ErrNotPrimary, c.config.VM, merry.NoCaptureStack())
 	}
 
@@ -262,16 +273,13 @@
 	return &ConfigureReply{}, nil
 }
 
-// confirmLeadership commits an empty entry. This proves that no other leader has committed
-// anything newer, even if this process was frozen without noticing it by its clocks.
+// confirmLeadership returns nil if this process knows all that any leader had committed when it was called.
 func (c *Core) confirmLeadership(ctx context.Context) error {
 	if err := c.checkLeading(); err != nil {
 		return err
 	}
 
-	_, err := c.commit(ctx)
-
-	return err
+	return c.commitNothing(ctx)
 }
 
 // setup returns the newest setup.
@@ -452,7 +460,7 @@
 	}
 
 	reply := &mill.ReportReply{ReportTo: c.role().Leader.Address}
-	if c.runner.Load() == nil {
+	if c.leadingRunner() == nil {
 		return reply, nil
 	}
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -398,6 +398,7 @@
 
 		Advise:    c.advise,
 		Propose:   c.propose,
+		Confirm:   c.commitNothing,
 		View:      c.stateMachine.view,
 		WallMilli: c.clocks.medianUnixMilli,
 		Pool:      c.pool,
@@ -490,6 +491,14 @@
 	}
 }
 
+// commitNothing commits an empty entry. This proves that no other leader had committed anything newer when it was
+// proposed, even if this process was suspended without noticing it by its clocks.
+func (c *Core) commitNothing(ctx context.Context) error {
+	_, err := c.commit(ctx)
+
+	return err
+}
+
 // advise asks the advisor from the address that the request names.
 func (c *Core) advise(ctx context.Context, request *lead.AdviceRequest) (*mill.Advice, error) {
 	if request.Address == c.config.Address {
--- a/internal/lead/bounds.go
+++ b/internal/lead/bounds.go
@@ -37,6 +37,16 @@
 	return defaultOrderTimeout
 }
 
+// maintenanceTimeout returns how long a maintenance order may take. With maxPause before it, that is less than the time
+// for which a successor sends none.
+func (b *Bounds) maintenanceTimeout() time.Duration {
+	if b.HolderLease == 0 {
+		return providerTimeout
+	}
+
+	return min(providerTimeout, max(b.HolderLease/2, b.HolderLease-maxPause))
+}
+
 // statusValidity returns how long after a worker has sent its status a start may be ordered that relies on its capacity:
 // the order must arrive before a capacity that has shrunk since then counts.
 func (b *Bounds) statusValidity() time.Duration {
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -38,6 +38,8 @@
 	Advise func(ctx context.Context, request *AdviceRequest) (*mill.Advice, error)
 	// Propose has commands committed and then calls done.
 	Propose func(commands []jobs.Command, done func(results []jobs.Result, err error))
+	// Confirm returns nil once it is shown that no other leader had been elected when it was called.
+	Confirm func(ctx context.Context) error
 	// View calls a function with the replicated state, which must not change meanwhile.
 	View func(read func(state *jobs.State))
 	// WallMilli returns the wall-clock time in milliseconds since 1970, which is the median of
@@ -56,6 +58,7 @@
 	dependencies Dependencies
 	// updates holds the reports and replies that wait to be passed to the scheduler.
 	updates      *ring.Ring[func(now time.Time)]
+	guard        *pauseGuard
 	context      context.Context
 	cadence      cadence
 	summarizedAt time.Time
@@ -72,11 +75,17 @@
 		scheduler:    scheduler,
 		dependencies: dependencies,
 		updates:      ring.New[func(now time.Time)](updateCapacity),
+		guard:        newPauseGuard(dependencies.Confirm),
 		context:      ctx,
 		metrics:      newMetrics(dependencies.Scope),
 	}
 }
 
+// MayAct reports whether this process has shown that it leads since it last stood still.
+func (r *Runner) MayAct() bool {
+	return r.guard.mayAct()
+}
+
 // Report passes a worker's status to the scheduler.
 func (r *Runner) Report(status *mill.WorkerStatus, at time.Time) {
 	r.post(func(time.Time) { r.scheduler.Report(status, at) })
@@ -100,6 +109,8 @@
 
 // Run schedules until the term ends.
 func (r *Runner) Run() {
+	go r.guard.run(r.context)
+
 	for r.context.Err() == nil {
 		r.handleUpdates()
 
@@ -195,8 +206,12 @@
 	}
 }
 
-// sendOrder makes a call with the timeout for orders.
+// sendOrder makes a call with the timeout for orders, unless this process may not act.
 func (r *Runner) sendOrder(call func(ctx context.Context) mill.OrderReply) mill.OrderReply {
+	if !r.guard.mayAct() {
+		return mill.OrderReply{Outcome: mill.OutcomeNotSent}
+	}
+
 	ctx, cancel := context.WithTimeout(r.context, r.scheduler.bounds.orderTimeout())
 	defer cancel()
 
@@ -237,18 +252,26 @@
 
 	defer func() { r.post(func(now time.Time) { r.scheduler.RenewAnswered(renew, &reply, sentAt, now) }) }()
 
+	if !r.guard.mayAct() {
+		reply.Outcome = mill.OutcomeNotSent
+
+		return
+	}
+
 	reply = r.dependencies.Orders.Renew(ctx, renew.To, &renew.Order)
 }
 
 // providerTimeout bounds a call to the provider, which may be slow.
 const providerTimeout = 2 * time.Second
 
+// startMaintenance sends a maintenance order, which must have been carried out before a successor sends one: the provider
+// may not check fencing tokens.
 func (r *Runner) startMaintenance(order *Maintenance) {
-	ctx, cancel := context.WithTimeout(r.context, providerTimeout)
+	ctx, cancel := context.WithTimeout(r.context, r.scheduler.bounds.maintenanceTimeout())
 	defer cancel()
 
 	outcome := mill.MaintenanceUnanswered
-	if r.dependencies.Machines != nil {
+	if r.dependencies.Machines != nil && r.guard.mayAct() {
 		outcome = r.dependencies.Machines.BeginMaintenance(ctx, order.Machine, order.Wave, order.FencingToken)
 	}
 
--- a/internal/lead/runner_test.go
+++ b/internal/lead/runner_test.go
@@ -114,6 +114,7 @@
 
 			done(results, nil)
 		},
+		Confirm: func(context.Context) error { return nil },
 		View: func(read func(state *jobs.State)) {
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/cranberrymill/cranberrymill/internal/boot"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -263,12 +264,12 @@
 	leader, other := newProcess(t, 1), newProcess(t, 2)
 	leader.lead(t, 7, other)
 
-	order := &Order{Kind: kindStart, Term: 7, SentMilli: bootMilli() - time.Second.Milliseconds(), LimitMilli: 400}
-	other.server.handle(order, bootMilli())
+	order := &Order{Kind: kindStart, Term: 7, SentMilli: boot.Milli() - time.Second.Milliseconds(), LimitMilli: 400}
+	other.server.handle(order, boot.Milli())
 	other.server.perform(order, leader.address)
 	assert.Equal(t, other.workers.startCount(), 0)
 
-	fresh := &Order{Kind: kindStart, Term: 7, SentMilli: bootMilli(), LimitMilli: 400}
+	fresh := &Order{Kind: kindStart, Term: 7, SentMilli: boot.Milli(), LimitMilli: 400}
 	other.server.perform(fresh, leader.address)
 	assert.Equal(t, other.workers.startCount(), 1)
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -8,6 +8,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/phuslu/log"
 
+	"github.com/cranberrymill/cranberrymill/internal/boot"
 	"github.com/cranberrymill/cranberrymill/internal/drive"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
@@ -45,7 +46,7 @@
 
 // Receive handles orders from a scheduling process.
 func (s *Server) Receive(_ context.Context, batch *drive.Batch[Order]) (*drive.Receipt, error) {
-	now := bootMilli()
+	now := boot.Milli()
 
 	for i := range batch.Messages {
 		s.handle(&batch.Messages[i], now)
@@ -110,7 +111,7 @@
 // perform passes an order on and returns the worker's reply.
 func (s *Server) perform(order *Order, replyTo string) {
 	// The order may have waited for a goroutine while the VM was suspended.
-	if expired(order, bootMilli()) {
+	if expired(order, boot.Milli()) {
 		s.outbox.Send(replyTo, Reply{Number: order.Number, Outcome: mill.OutcomeNotSent})
 
 		return
