Let long-running tasks end a worker's probation

Callers saw long-running tasks that had failed once stay away for good, beside free capacity.

Cause: after a quarantine a worker may have one task until a run there succeeds. Any task counted, also one from before, and a long-running one never succeeds, so a worker with one got no other and stayed so until the leader changed.

Fix: only runs that were placed since the quarantine count, and a long-running one of these that is at work for 2 s ends the probation. The status line says how many workers are on probation, and a new line why the step that waits longest does.

--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cranberrymill/cranberrymill/internal/jobs"
@@ -95,6 +96,13 @@
 	return false
 }
 
+// failedOn reports whether a waiting task has failed on a worker.
+func (c *candidate) failedOn(worker string) bool {
+	return slices.ContainsFunc(c.waiting, func(index int) bool {
+		return slices.Contains(c.state.Tasks[index].FailedOn, worker)
+	})
+}
+
 // demand returns the step's requirements for placement.
 func (c *candidate) demand() *plan.Demand {
 	return &plan.Demand{
@@ -123,6 +131,7 @@
 		},
 		StepTasks:   stepTasks,
 		OnProbation: w.health.OnProbation(),
+		Tried:       w.tried(),
 		Busy:        len(w.runs) > 0,
 		Contended:   c.step.BestEffort && w.servingRuns > 0 || c.step.TailLatencyTarget > 0 && w.bestEffortMilliCores > 0,
 		Slowness:    w.slowness.Factor(),
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -72,7 +72,7 @@
 	}
 
 	for index, at := range chosen {
-		r := s.newRun(c, placed[index], workers[at], number)
+		r := s.newRun(c, placed[index], workers[at], number, p.now)
 		p.pool(c).allocate(c.step.Reserves())
 
 		commands = append(commands, jobs.Command{Place: &jobs.Place{
@@ -178,7 +178,7 @@
 }
 
 // newRun adds the run for the placement of a task; the number 0 selects the task's next one.
-func (s *Scheduler) newRun(c *candidate, index int, w *worker, number int) *run {
+func (s *Scheduler) newRun(c *candidate, index int, w *worker, number int, now time.Time) *run {
 	task := &c.state.Tasks[index]
 	if number == 0 {
 		number = task.Run + 1
@@ -193,6 +193,7 @@
 		reserves:   c.step.Reserves(),
 		phase:      runProposed,
 		spec:       c.job.Work.Spec,
+		placedAt:   now,
 		checkpoint: task.Checkpoint,
 		resumeFrom: task.Checkpoint,
 
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -316,6 +316,8 @@
 
 	r.tailMilli = status.Gauge
 
+	s.recordAtWork(r, status, now)
+
 	if r.slowedPercent > 0 || status.Percent != r.percent || r.step.LongRunning && status.Percent >= fullPercent {
 		r.percent = status.Percent
 		r.progressAt = now
@@ -335,6 +337,13 @@
 	}
 }
 
+// recordAtWork updates the worker's health with a long-running run that is at work.
+func (*Scheduler) recordAtWork(r *run, status *mill.RunStatus, now time.Time) {
+	if r.step.LongRunning && r.phase == runStarted && status.Percent >= fullPercent {
+		r.worker.health.RecordAtWork(r.placedAt, now.Sub(r.startedAt))
+	}
+}
+
 // fullPercent is the progress that is reported for a long-running task that is at work.
 const fullPercent = 100
 
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -47,6 +47,8 @@
 	// worker. If a report that was requested later does not list the run, the worker does not have
 	// it.
 	updatedAt time.Time
+	// placedAt is when this scheduler placed the run; zero for one of an earlier leader.
+	placedAt  time.Time
 	startedAt time.Time
 	// stopping says that the run is to be stopped. stopAcknowledged says that the worker has
 	// confirmed it: the run has finished or is stopping, and a delayed start order for it will be
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -361,15 +361,32 @@
 
 		log.Info().Int("open", s.OpenJobs).Int("waitingSteps", s.WaitingSteps).Int("asking", s.PendingAdvice).Int("runs", s.Runs).
 			Int("doubtful", s.Doubtful).Int("workers", s.Workers).Int("usable", s.UsableWorkers).
-			Int("unknownCapacity", s.UnknownCapacity).Int("callers", s.AdvisorAddresses).Int("busyCallers", s.BusyAddresses).
+			Int("unknownCapacity", s.UnknownCapacity).Int("onProbation", s.OnProbation).
+			Int("busyOnProbation", s.BusyOnProbation).Int("callers", s.AdvisorAddresses).Int("busyCallers", s.BusyAddresses).
 			Int("plans", r.plans).Dur("planTime", r.planTime).Dur("longestPlan", r.longestPlan).
 			Int("examinedWorkers", s.ExaminedWorkers).
 			Msg("scheduler status")
+
+		logLongestWait(&s.LongestWait)
 	})
 
 	r.plans, r.planTime, r.longestPlan = 0, 0, 0
 }
 
+// minLoggedWait is how long a step must wait to be logged: a request for advice takes about as long.
+const minLoggedWait = 2 * time.Second
+
+func logLongestWait(w *WaitingStep) {
+	if w.Wait < minLoggedWait {
+		return
+	}
+
+	log.Info().Str("step", w.Step.String()).Str("queue", w.Queue).Dur("wait", w.Wait).
+		Int("tasks", w.Tasks).Bool("gang", w.Gang).Int("asked", w.Asked).Int("allowed", w.Allowed).
+		Int("fitting", w.Fitting).Int("onProbation", w.OnProbation).Int("failedOn", w.Failed).
+		Msg("step waits")
+}
+
 func (r *Runner) logEvents() {
 	for _, e := range r.scheduler.TakeEvents() {
 		r.metrics.countEvent(&e)
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -62,6 +62,9 @@
 	// a worker for one of them: the part of a plan's cost that grows with the backlog and with the pools.
 	waitingSteps    int
 	examinedWorkers int
+	// waits holds since when the steps that wait do so, and longestWait is the one that does so for the longest time.
+	waits       map[mill.StepID]time.Time
+	longestWait *candidate
 }
 
 // advisorAddress is the address of a process that forwards requests to the advisor, one at a time.
@@ -294,6 +297,7 @@
 	s.planMaintenance(&actions, now, state)
 	actions.AdviceRequests = s.requestAdvice(candidates, p)
 	s.waitingSteps = countWaiting(candidates)
+	s.recordWaits(candidates, now)
 	s.addOrders(&actions, now)
 
 	return actions
--- a/internal/lead/summary.go
+++ b/internal/lead/summary.go
@@ -23,24 +23,35 @@
 	// Workers counts the known workers, and UsableWorkers those that answer and are not leaving.
 	Workers       int
 	UsableWorkers int
-	// UnknownCapacity counts the usable workers whose free capacity is not known.
+	// UnknownCapacity counts the usable workers whose free capacity is not known, OnProbation those that are given one
+	// task at a time, and BusyOnProbation those of them that have one.
 	UnknownCapacity int
+	OnProbation     int
+	BusyOnProbation int
 	// AdvisorAddresses counts the addresses that the advisor can be reached through, and
 	// BusyAddresses those with an outstanding request.
 	AdvisorAddresses int
 	BusyAddresses    int
+	// LongestWait is the step that waits for the longest time; its Step is zero if none waits.
+	LongestWait WaitingStep
 }
 
-func (s *Summary) countWorker(usable, capacityKnown bool) {
-	if !usable {
-		return
-	}
-
+func (s *Summary) countUsableWorker(w *worker, capacityKnown bool) {
 	s.UsableWorkers++
 
 	if !capacityKnown {
 		s.UnknownCapacity++
 	}
+
+	if !w.health.OnProbation() {
+		return
+	}
+
+	s.OnProbation++
+
+	if w.tried() {
+		s.BusyOnProbation++
+	}
 }
 
 // Summary returns the scheduler's current status.
@@ -52,6 +63,7 @@
 		ExaminedWorkers: s.examinedWorkers,
 		Runs:            len(s.runs),
 		Workers:         len(s.workers),
+		LongestWait:     s.describeLongestWait(now),
 	}
 
 	for _, a := range s.advice {
@@ -67,7 +79,9 @@
 	}
 
 	for _, w := range s.workers {
-		summary.countWorker(w.usable(now), s.capacityKnown(w, now))
+		if w.usable(now) {
+			summary.countUsableWorker(w, s.capacityKnown(w, now))
+		}
 	}
 
 	for _, a := range s.advisorAddresses {
--- /dev/null
+++ b/internal/lead/waiting_step.go
@@ -0,0 +1,88 @@
+package lead
+
+import (
+	"time"
+
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// WaitingStep describes why a step waits, for logs.
+type WaitingStep struct {
+	Step  mill.StepID
+	Queue string
+	Wait  time.Duration
+	// Tasks is the number of tasks that wait, and Gang says that they must start together.
+	Tasks int
+	Gang  bool
+	// Asked counts the workers for which the advisor has answered, and Allowed those that it allows; both are 0 for a queue
+	// without an advisor.
+	Asked   int
+	Allowed int
+	// Fitting counts the allowed workers that accept work and have room for a task, OnProbation those of them that take
+	// none because they are on probation and have one, and Failed those on which a waiting task has failed.
+	Fitting     int
+	OnProbation int
+	Failed      int
+}
+
+// recordWaits notes since when each step waits.
+func (s *Scheduler) recordWaits(candidates []*candidate, now time.Time) {
+	waits := make(map[mill.StepID]time.Time, len(s.waits))
+	s.longestWait = nil
+
+	for _, c := range candidates {
+		if len(c.waiting) == 0 {
+			continue
+		}
+
+		since, ok := s.waits[c.id]
+		if !ok {
+			since = now
+		}
+
+		waits[c.id] = since
+
+		if s.longestWait == nil || since.Before(waits[s.longestWait.id]) {
+			s.longestWait = c
+		}
+	}
+
+	s.waits = waits
+}
+
+// describeLongestWait describes the step that waited for the longest time at the last plan.
+func (s *Scheduler) describeLongestWait(now time.Time) WaitingStep {
+	c := s.longestWait
+	if c == nil {
+		return WaitingStep{}
+	}
+
+	w := WaitingStep{
+		Step: c.id, Queue: c.queue.Name, Wait: now.Sub(s.waits[c.id]), Tasks: len(c.waiting), Gang: c.step.Gang,
+	}
+
+	if c.advice != nil {
+		w.Asked, w.Allowed = len(c.advice.answeredFor), len(c.advice.tickets)
+	}
+
+	for _, known := range s.workersByID() {
+		if allowed, _ := c.allows(known.status.ID, now); allowed && s.acceptsWork(known, now) && c.compatible(known) &&
+			c.step.Reserves().Fits(known.free()) {
+			w.countFitting(c, known)
+		}
+	}
+
+	return w
+}
+
+func (w *WaitingStep) countFitting(c *candidate, known *worker) {
+	w.Fitting++
+
+	if known.tried() {
+		w.OnProbation++
+	}
+
+	if c.failedOn(known.status.ID) {
+		w.Failed++
+	}
+}
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -175,6 +175,21 @@
 	w.nextRenewal = now.Add(retryDelay)
 }
 
+// tried reports whether the worker has a run that was placed on probation.
+func (w *worker) tried() bool {
+	if !w.health.OnProbation() {
+		return false
+	}
+
+	for _, r := range w.runs {
+		if w.health.Tries(r.placedAt) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // usable reports whether the worker may be given new work.
 func (w *worker) usable(now time.Time) bool {
 	if w.gone || w.leaving() || w.lastHeard.IsZero() || w.status.Draining || !w.clock.known() {
--- a/internal/plan/placement.go
+++ b/internal/plan/placement.go
@@ -11,8 +11,9 @@
 	View mill.WorkerView
 	// StepTasks is the number of tasks of the step on the worker.
 	StepTasks int
-	// OnProbation means that the worker may run only one task at a time.
+	// OnProbation means that the worker may be given only one task at a time, and Tried that it has got one.
 	OnProbation bool
+	Tried       bool
 	// Busy means that the worker has at least one task, of any step.
 	Busy bool
 	// Contended means that the task would interfere with tasks on the worker, or they with it.
@@ -90,7 +91,7 @@
 }
 
 func (w *CandidateWorker) canTake(demand *Demand) bool {
-	if !demand.PerTask.Fits(w.View.Free) || (w.OnProbation && w.Busy) {
+	if !demand.PerTask.Fits(w.View.Free) || (w.OnProbation && w.Tried) {
 		return false
 	}
 
@@ -102,6 +103,7 @@
 	w.View.Free = w.View.Free.Sub(perTask)
 	w.StepTasks++
 	w.Busy = true
+	w.Tried = true
 }
 
 // PlaceTasks places count identical tasks, reserves their capacity in workers, and returns the index of
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -215,4 +215,30 @@
 	list[1].OnProbation = true
 
 	assert.DeepEqual(t, PlaceTasks(list, demand, 5, firstFit{}, nil), []int{0, 0, 1})
+
+	list = workersWithCores(4000, 4000)
+	list[1].OnProbation, list[1].Tried = true, true
+
+	assert.DeepEqual(t, PlaceTasks(list, demand, 5, firstFit{}, nil), []int{0, 0})
+}
+
+// TestRunsThatTryAWorker checks which runs end a worker's probation: those placed on it since its quarantine, and of these
+// also a long-running one that has been at work for a while.
+func TestRunsThatTryAWorker(t *testing.T) {
+	var health WorkerHealth
+
+	assert.Assert(t, !health.Tries(start))
+
+	health.Quarantine(start)
+
+	after := start.Add(initialQuarantine)
+	assert.Assert(t, !health.Tries(start))
+	assert.Assert(t, health.Tries(after))
+
+	health.RecordAtWork(start, time.Hour)
+	health.RecordAtWork(after, provenAfter-time.Millisecond)
+	assert.Assert(t, health.OnProbation())
+
+	health.RecordAtWork(after, provenAfter)
+	assert.Assert(t, !health.OnProbation())
 }
--- a/internal/plan/ranking_test.go
+++ b/internal/plan/ranking_test.go
@@ -26,6 +26,7 @@
 			},
 			StepTasks:   rapid.IntRange(0, 2).Draw(t, "stepTasks"),
 			OnProbation: rapid.IntRange(0, 5).Draw(t, "probation") == 0,
+			Tried:       rapid.Bool().Draw(t, "tried"),
 			Busy:        rapid.Bool().Draw(t, "busy"),
 			Contended:   rapid.IntRange(0, 5).Draw(t, "contended") == 0,
 			Slowness:    float64(rapid.IntRange(0, 2).Draw(t, "slowness")) / 4,
--- a/internal/plan/worker_health.go
+++ b/internal/plan/worker_health.go
@@ -16,6 +16,9 @@
 	maxQuarantine = 16 * time.Second
 	// maxQuarantineDoublings limits the shift of initialQuarantine.
 	maxQuarantineDoublings = 8
+	// provenAfter is how long a long-running task must be at work on a worker on probation: as long as the first
+	// quarantine, for which the worker was not tried.
+	provenAfter = initialQuarantine
 	// failureRateWeight is the weight of the newest run in the moving average of a queue's failure rate.
 	failureRateWeight = 0.05
 )
@@ -69,12 +72,26 @@
 	return !now.Before(h.quarantinedUntil)
 }
 
-// OnProbation reports whether the worker may run only one task at a time, because it has been
+// OnProbation reports whether the worker may be given only one task at a time, because it has been
 // quarantined and no run has succeeded since.
 func (h *WorkerHealth) OnProbation() bool {
 	return h.quarantines > 0
 }
 
+// Tries reports whether a run that was placed at the given time shows whether a worker on probation still fails: one from
+// before the quarantine does not.
+func (h *WorkerHealth) Tries(placedAt time.Time) bool {
+	return h.OnProbation() && !placedAt.Before(h.quarantinedUntil)
+}
+
+// RecordAtWork records that a long-running run, which never succeeds, has been at work for the given time. It clears the
+// evidence if the run was placed on probation.
+func (h *WorkerHealth) RecordAtWork(placedAt time.Time, atWork time.Duration) {
+	if h.Tries(placedAt) && atWork >= provenAfter {
+		h.RecordSuccess()
+	}
+}
+
 // FailureRates holds the failure rate of each queue's runs as an exponential moving average; its zero value
 // is ready for use.
 type FailureRates struct {
