Start a task of a job that stands still beside room for it

The users saw, half a minute after a change of leader on otherwise calm runs, jobs that had nothing running although there was room for them on workers that the advisor allows.

Cause: two policies keep room free without a limit in time.

Fix: a step whose job has run nothing for 1.2 s starts one task, or its gang, in any room there is, if that suffices twice over. The other tasks keep to the order. At most 16 steps are checked in a plan.

--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -71,6 +71,10 @@
 	// take no other new runs.
 	suspected bool
 	isolated  bool
+	// heldBack says that the step is left out of the plan because it is deferrable and its pool is nearly full.
+	heldBack bool
+	// overdue says that the step starts in any room there is, also in what is reserved; see plan.Overdue.
+	overdue bool
 }
 
 func countWaiting(candidates []*candidate) int {
@@ -127,7 +131,7 @@
 			ID:       w.status.ID,
 			Rack:     w.status.Rack,
 			Capacity: w.status.Capacity,
-			Free:     w.unreserved(),
+			Free:     c.room(w),
 		},
 		StepTasks:   stepTasks,
 		OnProbation: w.health.OnProbation(),
@@ -138,7 +142,7 @@
 	}
 }
 
-// eligibleWorkers returns the first workers, up to a limit, that have free, unreserved capacity for a task of the step and
+// eligibleWorkers returns the first workers, up to a limit, that have room for a task of the step and
 // that pass the filter, together with their descriptions for package plan; a nil filter passes all. The
 // results are valid until the next call.
 func (s *Scheduler) eligibleWorkers(
@@ -154,7 +158,7 @@
 
 		s.examinedWorkers++
 
-		if w.isolatingRuns == 0 && perTask.Fits(w.unreserved()) && c.compatible(w) && (filter == nil || filter(w)) {
+		if w.isolatingRuns == 0 && perTask.Fits(c.room(w)) && c.compatible(w) && (filter == nil || filter(w)) {
 			described = append(described, c.describe(w))
 			eligible = append(eligible, w)
 		}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -20,7 +20,9 @@
 		pool := p.pool(c)
 		c.tasksPerWorker = c.step.Reserves().TimesIn(pool.minCapacity)
 
-		if !plan.MayStart(&c.urgency, pool.free, pool.capacity) {
+		s.markOverdue(c, p)
+
+		if c.heldBack = !c.overdue && !plan.MayStart(&c.urgency, pool.free, pool.capacity); c.heldBack {
 			continue
 		}
 
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -22,6 +22,8 @@
 	// reservationsLeft limits the further steps for which the pass looks for capacity to reserve
 	// while the advisor is asked.
 	reservationsLeft int
+	// overdueLeft limits the steps for which the pass checks whether they are overdue.
+	overdueLeft int
 	// victims holds the urgency of the steps whose runs were considered for preemption.
 	victims map[mill.StepID]plan.Urgency
 }
@@ -37,6 +39,7 @@
 		findPools:        func() map[string]*pool { return s.pools(now) },
 		idleAddresses:    addresses,
 		reservationsLeft: len(addresses) + extraReservations,
+		overdueLeft:      maxOverdueSteps,
 		victims:          make(map[mill.StepID]plan.Urgency),
 	}
 }
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -384,6 +384,7 @@
 	log.Info().Str("step", w.Step.String()).Str("queue", w.Queue).Dur("wait", w.Wait).
 		Int("tasks", w.Tasks).Bool("gang", w.Gang).Int("asked", w.Asked).Int("allowed", w.Allowed).
 		Int("fitting", w.Fitting).Int("onProbation", w.OnProbation).Int("failedOn", w.Failed).
+		Int("reserved", w.Reserved).Bool("heldBack", w.HeldBack).
 		Msg("step waits")
 }
 
--- a/internal/lead/waiting_step.go
+++ b/internal/lead/waiting_step.go
@@ -23,6 +23,10 @@
 	Fitting     int
 	OnProbation int
 	Failed      int
+	// Reserved counts the fitting workers whose room is reserved for steps that come first, and HeldBack says that the step
+	// is deferrable and left out while the pool is nearly full.
+	Reserved int
+	HeldBack bool
 }
 
 // recordWaits notes since when each step waits.
@@ -59,6 +63,7 @@
 
 	w := WaitingStep{
 		Step: c.id, Queue: c.queue.Name, Wait: now.Sub(s.waits[c.id]), Tasks: len(c.waiting), Gang: c.step.Gang,
+		HeldBack: c.heldBack,
 	}
 
 	if c.advice != nil {
@@ -85,4 +90,8 @@
 	if c.failedOn(known.status.ID) {
 		w.Failed++
 	}
+
+	if !c.step.Reserves().Fits(known.unreserved()) {
+		w.Reserved++
+	}
 }
