--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -18,12 +18,6 @@
 	Oversize bool
 }
 
-// Header is one HTTP header of an Answer.
-type Header struct {
-	Name  string
-	Value string
-}
-
 // Begin records the intent to run a keyed request.
 type Begin struct {
 	Key     string
