--- a/internal/ledger/header.go
+++ b/internal/ledger/header.go
@@ -15,8 +15,8 @@
 	Value string
 }
 
-// storedHeader is the serialized form of a Header. The value is a text if it is UTF-8, and else a byte string: a text that is
-// not UTF-8 cannot be decoded.
+// storedHeader is the serialized form of a Header. The value is a text if it is UTF-8, and else a byte string: a text that
+// is not UTF-8 cannot be decoded.
 type storedHeader struct {
 	Name  string
 	Value any
