--- a/internal/lead/pause_guard.go
+++ b/internal/lead/pause_guard.go
@@ -47,6 +47,17 @@
 	return now > 0 && now-g.activeMilli.Load() <= maxPause.Milliseconds()
 }
 
+// awaitConfirmation returns once the process may act or the context ends.
+func (g *pauseGuard) awaitConfirmation(ctx context.Context) {
+	for ctx.Err() == nil {
+		if g.check(ctx); g.mayAct() {
+			return
+		}
+
+		drive.Pause(ctx, guardInterval)
+	}
+}
+
 // run watches for pauses until the context ends.
 func (g *pauseGuard) run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/lead/pause_guard_test.go
+++ b/internal/lead/pause_guard_test.go
@@ -140,6 +140,33 @@
 	assert.Equal(t, send(), [4]int64{3, 3, 3, 2})
 }
 
+// TestNewLeaderPlansOnceConfirmed guards against a new leader whose first orders are not sent because it has not confirmed
+// that it leads, so that all workers seem silent.
+func TestNewLeaderPlansOnceConfirmed(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	confirmed := make(chan error, 1)
+	guard := newPauseGuard(func(context.Context) error { return <-confirmed })
+	done := make(chan bool, 1)
+
+	go func() {
+		guard.awaitConfirmation(ctx)
+
+		done <- guard.mayAct()
+	}()
+
+	confirmed <- mill.ErrUnavailable
+
+	select {
+	case <-done:
+		t.Fatal("the guard does not wait")
+	case confirmed <- nil:
+	}
+
+	assert.Assert(t, <-done)
+}
+
 // TestMaintenanceOrderEndsBeforeTheSuccessorsBegin checks that a maintenance order that was sent just before the end of
 // maxPause is answered, or given up, while a successor still waits.
 func TestMaintenanceOrderEndsBeforeTheSuccessorsBegin(t *testing.T) {
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -109,6 +109,9 @@
 
 // Run schedules until the term ends.
 func (r *Runner) Run() {
+	// Orders of the first plan that are not sent would make all workers seem silent.
+	r.guard.awaitConfirmation(r.context)
+
 	go r.guard.run(r.context)
 
 	for r.context.Err() == nil {
