--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -142,9 +142,9 @@
 	}
 }
 
-// eligibleWorkers returns the first workers, up to a limit, that have room for a task of the step and
-// that pass the filter, together with their descriptions for package plan; a nil filter passes all. The
-// results are valid until the next call.
+// eligibleWorkers returns the first workers, up to a limit, that have room for a task of the step and that
+// pass the filter, together with their descriptions for package plan; a nil filter passes all. The results
+// are valid until the next call.
 func (s *Scheduler) eligibleWorkers(
 	c *candidate, workers []*worker, filter func(w *worker) bool, limit int,
 ) (described []plan.CandidateWorker, eligible []*worker) {
--- a/internal/lead/overdue.go
+++ b/internal/lead/overdue.go
@@ -19,9 +19,9 @@
 	}
 
 	p.overdueLeft--
-	c.overdue = true
+	c.overdue = s.hasRoom(c, p)
 
-	if c.overdue = s.hasRoom(c, p); c.overdue && !c.step.Gang {
+	if c.overdue && !c.step.Gang {
 		c.waiting = c.waiting[:1]
 	}
 }
