--- a/internal/lead/machine_list_test.go
+++ b/internal/lead/machine_list_test.go
@@ -18,6 +18,18 @@
 	}
 }
 
+// servingSimulation returns a simulation of executors with a provider, on which the tasks of a serving step run.
+func servingSimulation(t *testing.T, executors, tasks int) *simulation {
+	t.Helper()
+
+	sim := newSimulation(t, nil, executors)
+	sim.provider = newProvider(sim)
+	sim.submit("serving", "free", time.Second, servingStep(tasks))
+	sim.run(3 * time.Second)
+
+	return sim
+}
+
 // runServing lets time pass, and checks that at most one task of a serving step is unavailable.
 func (sim *simulation) runServing(t *testing.T, length time.Duration, count int) {
 	t.Helper()
@@ -73,10 +85,7 @@
 func TestSecondWaveSparesServingTasks(t *testing.T) {
 	const tasks = 4
 
-	sim := newSimulation(t, nil, tasks)
-	sim.provider = newProvider(sim)
-	sim.submit("serving", "free", time.Second, servingStep(tasks))
-	sim.run(3 * time.Second)
+	sim := servingSimulation(t, tasks, tasks)
 
 	for number := 1; number <= 2; number++ {
 		startWave(sim, number, 0, tasks, tasks, 40*time.Second)
@@ -92,10 +101,7 @@
 func TestWorkerReplacedWhileItsMachineIsDrained(t *testing.T) {
 	const tasks = 3
 
-	sim := newSimulation(t, nil, tasks)
-	sim.provider = newProvider(sim)
-	sim.submit("serving", "free", time.Second, servingStep(tasks))
-	sim.run(3 * time.Second)
+	sim := servingSimulation(t, tasks, tasks)
 
 	drained, down := sim.executors[0], sim.executors[1]
 	down.crash() // With one task away, no other may be interrupted.
@@ -180,11 +186,10 @@
 func TestNewLeaderListsMachinesAfterItsWait(t *testing.T) {
 	const lease = 3 * time.Second
 
-	sim := newSimulation(t, nil, 2)
 	state := jobs.NewState()
 	state.Apply(&jobs.Command{StartWave: &mill.Wave{Number: 1, Machines: []string{"m"}, Duration: time.Minute, MaxAtOnce: 1}})
 
-	scheduler := New(Bounds{HolderLease: lease}, 2, sim.now, state, nil)
+	scheduler := New(Bounds{HolderLease: lease}, 2, simStart, state, nil)
 	listed := []mill.Machine{{ID: "m", State: mill.MachineUp}}
 
 	for _, step := range []struct {
@@ -196,11 +201,11 @@
 		{lease - time.Second, lease + time.Second, 0},
 		{lease + time.Second, lease + 2*time.Second, 1},
 	} {
-		scheduler.MachinesListed(listed, sim.now.Add(step.listedAt))
+		scheduler.MachinesListed(listed, simStart.Add(step.listedAt))
 
 		var actions Actions
 
-		scheduler.planMaintenance(&actions, sim.now.Add(step.planAt), state)
+		scheduler.planMaintenance(&actions, simStart.Add(step.planAt), state)
 		assert.Equal(t, len(scheduler.maintenance), step.drains, "%s", step.planAt)
 	}
 }
--- a/internal/lead/maintenance_test.go
+++ b/internal/lead/maintenance_test.go
@@ -213,26 +213,11 @@
 // over the three tasks of a long-running step of which one may be unavailable at a time. It expects
 // the wave to keep to that, and to complete.
 func TestWaveSparesTasksThatMustNotBeMissed(t *testing.T) {
-	sim := newSimulation(t, nil, 4)
-	sim.provider = newProvider(sim)
-	sim.submit("serving", "free", time.Second, mill.Step{
-		Count: 3, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1, PerTask: mill.Resources{MilliCores: 1000, MemoryMiB: 100},
-	})
-	sim.run(2 * time.Second)
-	startWave(sim, 1, 0, 4, 3, 30*time.Second)
-
-	for range 3000 {
-		sim.run(simStep)
+	const tasks = 3
 
-		unavailable := 3
-		for _, e := range sim.executors {
-			if e.up {
-				unavailable -= len(e.running)
-			}
-		}
-
-		assert.Assert(t, unavailable <= 1, "%d of three tasks are unavailable", unavailable)
-	}
+	sim := servingSimulation(t, 4, tasks)
+	startWave(sim, 1, 0, 4, 3, 30*time.Second)
+	sim.runServing(t, 30*time.Second, tasks)
 
 	wave, _ := sim.state.Wave(1)
 	assert.Assert(t, wave.Complete(), "settled %v", wave.Settled)
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -52,7 +52,7 @@
 
 // takesRuns reports whether the runs that are placed on a worker may be started there.
 func (s *Scheduler) takesRuns(w *worker, now time.Time) bool {
-	return len(w.runs) == 0 || !w.leaving() && s.fitsRuns(w, now)
+	return len(w.runs) == 0 || !w.leaving && s.fitsRuns(w, now)
 }
 
 // fitsRuns reports whether a worker is known to have the capacity for the runs that are or may be active on it.
@@ -188,7 +188,7 @@
 
 	// A worker that does not answer, or is shutting down, gets no longer lease: its leases have to expire before
 	// its tasks can run elsewhere.
-	if holding && w.failedRenewals == 0 && !w.leaving() && w.clock.known() {
+	if holding && w.failedRenewals == 0 && !w.leaving && w.clock.known() {
 		order.LeaseExpiryMilli = w.extendLease(now, s.bounds.Lease())
 	}
 
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -198,7 +198,7 @@
 		return
 	case mill.OutcomeNotListening:
 		// A worker that has announced its shutdown and whose host refuses connections has ended.
-		w.gone = w.gone || w.leaving()
+		w.gone = w.gone || w.leaving
 		w.renewalFailed(now)
 
 		return
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -376,11 +376,8 @@
 	r.plans, r.planTime, r.longestPlan = 0, 0, 0
 }
 
-// minLoggedWait is how long a step must wait to be logged: a request for advice takes about as long.
-const minLoggedWait = 2 * time.Second
-
 func logLongestWait(w *WaitingStep) {
-	if w.Wait < minLoggedWait {
+	if w.Wait == 0 {
 		return
 	}
 
--- a/internal/lead/summary.go
+++ b/internal/lead/summary.go
@@ -32,7 +32,7 @@
 	// BusyAddresses those with an outstanding request.
 	AdvisorAddresses int
 	BusyAddresses    int
-	// LongestWait is the step that waits for the longest time; its Step is zero if none waits.
+	// LongestWait is the step that waits for the longest time; it is zero if none has waited for long.
 	LongestWait WaitingStep
 }
 
--- a/internal/lead/waiting_step.go
+++ b/internal/lead/waiting_step.go
@@ -6,6 +6,9 @@
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
+// minLoggedWait is how long a step must wait to be described: a request for advice takes about as long.
+const minLoggedWait = 2 * time.Second
+
 // WaitingStep describes why a step waits, for logs.
 type WaitingStep struct {
 	Step  mill.StepID
@@ -54,15 +57,15 @@
 	s.waits = waits
 }
 
-// describeLongestWait describes the step that waited for the longest time at the last plan.
+// describeLongestWait describes the step that waited for the longest time at the last plan, if it did so for minLoggedWait.
 func (s *Scheduler) describeLongestWait(now time.Time) WaitingStep {
 	c := s.longestWait
-	if c == nil {
+	if c == nil || s.waitOf(c, now) < minLoggedWait {
 		return WaitingStep{}
 	}
 
 	w := WaitingStep{
-		Step: c.id, Queue: c.queue.Name, Wait: now.Sub(s.waits[c.id]), Tasks: len(c.waiting), Gang: c.step.Gang,
+		Step: c.id, Queue: c.queue.Name, Wait: s.waitOf(c, now), Tasks: len(c.waiting), Gang: c.step.Gang,
 		HeldBack: c.heldBack,
 	}
 
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -28,8 +28,9 @@
 	statusSentAt time.Time
 	// lastRenewal is when the worker last answered a renewal.
 	lastRenewal time.Time
-	// leavingSince is when the worker announced that it is shutting down.
-	leavingSince time.Time
+	// leaving says that the worker has announced that it is shutting down, and has not reported since. It may run on for
+	// some seconds, above all if it gets no answer to that.
+	leaving bool
 	// gone says that the worker has certainly stopped, with all its runs.
 	gone bool
 	// runs holds the runs that may be active on the worker or are being placed on it.
@@ -163,12 +164,6 @@
 	return w.sortedRuns
 }
 
-// leaving reports whether the worker has announced that it is shutting down, and has not reported since. It may run on
-// for some seconds, above all if it gets no answer to that.
-func (w *worker) leaving() bool {
-	return !w.leavingSince.IsZero()
-}
-
 // renewalFailed records a renewal that was not answered or refused.
 func (w *worker) renewalFailed(now time.Time) {
 	w.failedRenewals++
@@ -192,7 +187,7 @@
 
 // usable reports whether the worker may be given new work.
 func (w *worker) usable(now time.Time) bool {
-	if w.gone || w.leaving() || w.lastHeard.IsZero() || w.status.Draining || !w.clock.known() {
+	if w.gone || w.leaving || w.lastHeard.IsZero() || w.status.Draining || !w.clock.known() {
 		return false
 	}
 
