Count and describe the jobs that stand still beside room for them

The leader now looks once a second for jobs that have had nothing running for over 3 s beside room for twice what they start, counts them (standing in scheduler status, mill_standing_jobs), and logs each once with its reason, at most 8 a second. The reasons tell the three hypotheses apart: heldBack and reserved (the budget), adviceMissing and ticketsExpired (advice), runsNotKnown and workersWithheld (what the leader takes for busy). Room on workers that are given no work counts too, and a job is idle if none of its runs is known to be active, as the platform counts it. No decision of the scheduler depends on it.

TestStandstillsAreDescribedOnce: 11 jobs are counted after 5 s, and described 8 and 3 in two seconds, and then no more.

--- a/internal/lead/backlog.go
+++ b/internal/lead/backlog.go
@@ -81,7 +81,7 @@
 }
 
 // waitingTasks returns the indexes of the tasks that have no run. A gang is placed as a whole, so
-// it is returned only when all its tasks wait.
+// it is returned only when all its tasks wait. It notes whether placements are being committed.
 func (s *Scheduler) waitingTasks(c *candidate) []int {
 	var waiting []int
 
@@ -90,7 +90,9 @@
 			continue
 		}
 
-		if _, hasRun := s.runs[c.id.Task(index)]; !hasRun {
+		if _, hasRun := s.runs[c.id.Task(index)]; hasRun {
+			c.beingPlaced = true
+		} else {
 			waiting = append(waiting, index)
 		}
 	}
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -58,8 +58,10 @@
 	state *jobs.Step
 	// waiting holds the indexes of the tasks that are to be placed.
 	waiting []int
-	urgency plan.Urgency
-	advice  *advice
+	// beingPlaced says that the placement of a task is being committed.
+	beingPlaced bool
+	urgency     plan.Urgency
+	advice      *advice
 	// deliveryDelay is the time from a decision until the order reaches the worker.
 	deliveryDelay time.Duration
 	// tasksPerWorker is how many tasks of the step fit on the smallest worker of its pool.
--- a/internal/lead/metrics.go
+++ b/internal/lead/metrics.go
@@ -18,6 +18,7 @@
 	runs      tally.Gauge
 	usable    tally.Gauge
 	busy      tally.Gauge
+	standing  tally.Gauge
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -34,6 +35,7 @@
 		runs:      scope.Gauge("runs"),
 		usable:    scope.Gauge("usable_workers"),
 		busy:      scope.Gauge("busy_advisor_addresses"),
+		standing:  scope.Gauge("standing_jobs"),
 	}
 
 	for _, cause := range []mill.FinishCause{
@@ -65,4 +67,5 @@
 	m.runs.Update(float64(s.Runs))
 	m.usable.Update(float64(s.UsableWorkers))
 	m.busy.Update(float64(s.BusyAddresses))
+	m.standing.Update(float64(s.StandingJobs))
 }
--- a/internal/lead/overdue.go
+++ b/internal/lead/overdue.go
@@ -50,8 +50,6 @@
 		needed *= len(c.waiting)
 	}
 
-	perTask := c.step.Reserves()
-
 	for _, w := range p.pool(c).fitting(c) {
 		s.examinedWorkers++
 
@@ -59,7 +57,7 @@
 			continue
 		}
 
-		if needed -= c.places(w, perTask); needed <= 0 {
+		if needed -= c.places(w, w.free()); needed <= 0 {
 			return true
 		}
 	}
@@ -80,9 +78,9 @@
 	return !c.advice.answeredFor[w.status.ID]
 }
 
-// places returns how many tasks of the step a worker has room for.
-func (c *candidate) places(w *worker, perTask mill.Resources) int {
-	places := perTask.TimesIn(w.free())
+// places returns how many tasks of the step a worker may take in the given part of its capacity.
+func (c *candidate) places(w *worker, free mill.Resources) int {
+	places := c.step.Reserves().TimesIn(free)
 	if c.step.MaxPerWorker > 0 {
 		places = min(places, c.step.MaxPerWorker-w.countTasks(c.id))
 	}
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -87,6 +87,11 @@
 	return !r.startedAt.IsZero() && !r.proven
 }
 
+// atWork reports whether the run is at work or on its way to its worker, as far as this leader knows.
+func (r *run) atWork() bool {
+	return r.cause == "" && !r.stopping && r.phase != runInherited && r.phase != runDoubtful
+}
+
 func (r *run) ref() mill.RunRef {
 	return mill.RunRef{Task: r.task, Run: r.number}
 }
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -367,10 +367,14 @@
 			Int("unknownCapacity", s.UnknownCapacity).Int("onProbation", s.OnProbation).
 			Int("busyOnProbation", s.BusyOnProbation).Int("callers", s.AdvisorAddresses).Int("busyCallers", s.BusyAddresses).
 			Int("plans", r.plans).Dur("planTime", r.planTime).Dur("longestPlan", r.longestPlan).
-			Int("examinedWorkers", s.ExaminedWorkers).
+			Int("examinedWorkers", s.ExaminedWorkers).Int("standing", s.StandingJobs).
 			Msg("scheduler status")
 
 		logLongestWait(&s.LongestWait)
+
+		for i := range s.Standstills {
+			logStandstill(&s.Standstills[i])
+		}
 	})
 
 	r.plans, r.planTime, r.longestPlan = 0, 0, 0
@@ -388,6 +392,14 @@
 		Msg("step waits")
 }
 
+func logStandstill(standstill *Standstill) {
+	log.Warn().Str("step", standstill.Step.String()).Str("queue", standstill.Queue).Str("reason", string(standstill.Reason)).
+		Dur("idle", standstill.Idle).Int("together", standstill.Together).Int("places", standstill.Places).
+		Int("workers", standstill.Workers).Int("placed", standstill.Placed).Int("asked", standstill.Asked).
+		Int("allowed", standstill.Allowed).
+		Msg("job stands still beside room for it")
+}
+
 func (r *Runner) logEvents() {
 	for _, e := range r.scheduler.TakeEvents() {
 		r.metrics.countEvent(&e)
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -65,6 +65,11 @@
 	// waits holds since when the steps that wait do so, and longestWait is the one that does so for the longest time.
 	waits       map[mill.StepID]time.Time
 	longestWait *candidate
+	// idleSince holds since when steps that wait belong to jobs of which nothing runs, and lastCandidates the steps of the
+	// last plan.
+	idleSince      map[mill.StepID]time.Time
+	lastCandidates []*candidate
+	standstills    standstills
 }
 
 // advisorAddress is the address of a process that forwards requests to the advisor, one at a time.
@@ -298,6 +303,7 @@
 	actions.AdviceRequests = s.requestAdvice(candidates, p)
 	s.waitingSteps = countWaiting(candidates)
 	s.recordWaits(candidates, now)
+	s.recordIdle(candidates, now)
 	s.addOrders(&actions, now)
 
 	return actions
--- a/internal/lead/summary.go
+++ b/internal/lead/summary.go
@@ -34,6 +34,10 @@
 	BusyAddresses    int
 	// LongestWait is the step that waits for the longest time; it is zero if none has waited for long.
 	LongestWait WaitingStep
+	// StandingJobs counts the jobs that have nothing running beside room for them, and Standstills describes some that were
+	// not described before.
+	StandingJobs int
+	Standstills  []Standstill
 }
 
 func (s *Summary) countUsableWorker(w *worker, capacityKnown bool) {
@@ -66,6 +70,8 @@
 		LongestWait:     s.describeLongestWait(now),
 	}
 
+	summary.StandingJobs, summary.Standstills = s.standstills.update(s, now)
+
 	for _, a := range s.advice {
 		if a.requestPending {
 			summary.PendingAdvice++
