Check in each simulation that no job stands still beside room for it (fails)

Room is what the executors have, not what the leader believes. The simulation gets a second pool, and the number of the advisor's addresses and its time vary.

--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -62,9 +62,11 @@
 	// pastCapacities holds the capacities that the executor had before, the oldest first.
 	pastCapacities []pastCapacity
 	rack           string
-	up             bool
-	disconnected   bool
-	draining       bool
+	// pool is the service that the executor runs tasks of.
+	pool         string
+	up           bool
+	disconnected bool
+	draining     bool
 	// unheard loses the worker's reports, mute the orders to it.
 	unheard bool
 	mute    bool
@@ -167,7 +169,7 @@
 	return &mill.WorkerStatus{
 		ID:             e.id,
 		StartUnixMilli: e.startedAt.UnixMilli(),
-		Service:        "pool",
+		Service:        e.pool,
 		Address:        e.address,
 		Rack:           e.rack,
 		Labels:         []string{"a", e.rack},
@@ -181,6 +183,7 @@
 // resize changes the executor's capacity while it runs. Its next report shows that.
 func (e *executor) resize(capacity mill.Resources) {
 	e.pastCapacities = append(e.pastCapacities, pastCapacity{until: e.sim.now, capacity: e.capacity})
+	e.disturbedAt = e.sim.now
 	e.capacity = capacity
 }
 
--- a/internal/lead/maintenance_test.go
+++ b/internal/lead/maintenance_test.go
@@ -86,7 +86,8 @@
 // replaceWorker starts a new worker on a machine whose worker has ended.
 func (p *provider) replaceWorker(machine string) {
 	old := p.workers[machine]
-	e := &executor{sim: p.sim, id: old.id + "b", address: old.id + "b", capacity: old.capacity, rack: old.rack, up: true}
+	id := old.id + "b"
+	e := &executor{sim: p.sim, id: id, address: id, capacity: old.capacity, rack: old.rack, pool: old.pool, up: true}
 	e.restart()
 	p.sim.executors = append(p.sim.executors, e)
 	p.workers[machine] = e
--- a/internal/lead/overdue_test.go
+++ b/internal/lead/overdue_test.go
@@ -1,11 +1,13 @@
 package lead
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -60,6 +62,87 @@
 	}
 }
 
+// submitGangs submits gangs that have no room in a full pool.
+func submitGangs(sim *simulation, queue string, count int) {
+	for i := range count {
+		sim.submit(fmt.Sprintf("gang%03d", i), queue, 10*time.Second, mill.Step{
+			Count: 6, Gang: true, PerTask: mill.Resources{MilliCores: simCapacity / 8, MemoryMiB: 100},
+		})
+	}
+}
+
+// TestJobDoesNotStandStillBehindGangs guards against a job that is not started because too many gangs without room come
+// first.
+func TestJobDoesNotStandStillBehindGangs(t *testing.T) {
+	for _, queue := range []string{"free", "advised"} {
+		for _, gangs := range []int{15, 16, 40, 120, 400} {
+			t.Run(fmt.Sprintf("%s/%d", queue, gangs), func(t *testing.T) {
+				sim := fullPool(t)
+				submitGangs(sim, queue, gangs)
+				sim.run(time.Second)
+				assertStarts(t, sim, queue)
+			})
+		}
+	}
+}
+
+// TestJobWithSuspectedTaskDoesNotStandStill guards against a job that is not started because some of its tasks are
+// suspected of having crashed a worker.
+func TestJobWithSuspectedTaskDoesNotStandStill(t *testing.T) {
+	for suspected := 1; suspected <= 4; suspected++ {
+		t.Run(fmt.Sprint(suspected), func(t *testing.T) {
+			sim := fullPool(t)
+			sim.submit("waiting", "free", 30*time.Second, smallStep())
+
+			for index := range suspected {
+				task := mill.StepID{Job: "waiting"}.Task(index)
+				sim.state.Apply(&jobs.Command{Place: &jobs.Place{Task: task, Run: 1, Worker: "x00"}})
+				sim.state.Apply(&jobs.Command{Finish: &jobs.Finish{
+					Task: task, Run: 1, Cause: mill.FinishWorkerCrashed, Suspicion: 1,
+				}})
+			}
+
+			sim.run(longestStandstill)
+
+			job, _ := sim.state.Job("waiting")
+			assert.Assert(t, job.Placed > 0, "nothing runs")
+		})
+	}
+}
+
+// TestLateJobDoesNotStandStillBesideShortTasks guards against a job that is not started because all the room that short
+// tasks leave and take again goes to those.
+func TestLateJobDoesNotStandStillBesideShortTasks(t *testing.T) {
+	sim := newSimulation(t, nil, 8)
+	sim.run(time.Second)
+
+	submitted := 0
+
+	var stream func()
+
+	stream = func() {
+		submitted++
+		sim.submit(fmt.Sprintf("short%03d", submitted), "free", 300*time.Millisecond, mill.Step{
+			Count: 16, PerTask: smallStep().PerTask,
+		})
+		sim.after(50*time.Millisecond, stream)
+	}
+
+	stream()
+	sim.run(2 * time.Second)
+
+	// So late that its completion has no value any more.
+	for i := range 4 {
+		id := fmt.Sprintf("late%d", i)
+		sim.submit(id, "free", time.Second, smallStep())
+
+		job, _ := sim.state.Job(id)
+		job.UnixMilli -= time.Minute.Milliseconds()
+	}
+
+	sim.run(simCalmTime + 3*simStandstillTime)
+}
+
 // TestOverdueJobStartsOneTask checks that a job that starts beside the order starts one task, and that its others wait
 // behind the headroom.
 func TestOverdueJobStartsOneTask(t *testing.T) {
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -112,6 +112,11 @@
 	withoutReports bool
 	// choices numbers the decisions that are derived from a hash instead of the test's seed.
 	choices uint64
+	// advisorAddresses are those through which the advisor can be asked, one request at a time, and decideTime is how long
+	// it takes to answer.
+	advisorAddresses []string
+	decideTime       time.Duration
+	standstill       standstillCheck
 	// adviceRequests counts the advice requests, and adviceRequestsByJob those for each job.
 	adviceRequests      int
 	adviceRequestsByJob map[string]int
@@ -133,7 +138,10 @@
 		failingJobs:         make(map[string]bool),
 		adviceRequestsByJob: make(map[string]int),
 		faultless:           true,
+		advisorAddresses:    []string{"here", "there"},
+		decideTime:          simDecideTime,
 	}
+	sim.standstill = standstillCheck{sim: sim, lastRan: make(map[mill.TaskID]time.Time)}
 
 	sim.state.Apply(&jobs.Command{Setup: simSetup()})
 
@@ -147,9 +155,9 @@
 }
 
 func simSetup() *mill.Setup {
-	queue := func(name string, priority int, advice *mill.AdvicePolicy) mill.Queue {
+	queue := func(service, name string, priority int, advice *mill.AdvicePolicy) mill.Queue {
 		return mill.Queue{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Service: "pool", MaxAttempts: 4, Priority: priority,
+			Name: name, Host: "h", Prefix: "/" + name + "/", Service: service, MaxAttempts: 4, Priority: priority,
 			Stretch: 2, Objective: time.Second, Timeout: time.Second, Advice: advice,
 		}
 	}
@@ -157,10 +165,12 @@
 	return &mill.Setup{
 		Version: 1,
 		Queues: []mill.Queue{
-			queue("free", 1, nil),
-			queue("advised", 0, &mill.AdvicePolicy{Decide: simDecideTime, Validity: simValidity}),
+			queue("pool", "free", 1, nil),
+			queue("pool", "advised", 0, &mill.AdvicePolicy{Decide: simDecideTime, Validity: simValidity}),
+			queue("annex", "annexFree", 1, nil),
+			queue("annex", "annexAdvised", 0, &mill.AdvicePolicy{Decide: simDecideTime, Validity: simValidity}),
 		},
-		Services: []mill.Service{{Name: "pool"}},
+		Services: []mill.Service{{Name: "pool"}, {Name: "annex"}},
 	}
 }
 
@@ -171,6 +181,7 @@
 		drift:    float64(index%3) * clockDrift / 2,
 		capacity: mill.Resources{MilliCores: simCapacity, MemoryMiB: simCapacity, Accelerators: int64(index % 2 * 4)},
 		rack:     fmt.Sprintf("r%d", index/2),
+		pool:     "pool",
 		up:       true,
 	}
 	e.address = e.id
@@ -319,6 +330,7 @@
 
 	sim.plan()
 	sim.checkCanceled()
+	sim.standstill.check()
 }
 
 // commit applies the proposals that are due.
@@ -371,8 +383,9 @@
 
 func (sim *simulation) plan() {
 	l := sim.leader
-	l.scheduler.AdvisorReachable("here", sim.now)
-	l.scheduler.AdvisorReachable("there", sim.now)
+	for _, address := range sim.advisorAddresses {
+		l.scheduler.AdvisorReachable(address, sim.now)
+	}
 
 	sim.checkIndexes(l.scheduler)
 
--- /dev/null
+++ b/internal/lead/standstill_check_test.go
@@ -0,0 +1,188 @@
+package lead
+
+import (
+	"time"
+
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+const (
+	// simStandstillTime is how long a job may have nothing running beside room for it.
+	simStandstillTime = 3 * time.Second
+	// simCalmTime is how long all must have been calm before that.
+	simCalmTime = 4 * time.Second
+	// simRestartGap is how long after its last run the standstill of a long-running task begins.
+	simRestartGap = 6 * time.Second
+	// simRoomFactor is how many times the room for what a step starts at once must be there.
+	simRoomFactor = 2
+)
+
+// standstillCheck checks that no job has nothing running for simStandstillTime beside room for it, in calm times.
+type standstillCheck struct {
+	sim *simulation
+	// since holds since when a job, or a task of a long-running step, stands still beside room.
+	since map[mill.TaskID]time.Time
+	// lastRan is when a task of a long-running step last ran.
+	lastRan map[mill.TaskID]time.Time
+}
+
+// check looks at what runs and at the room on the executors.
+func (c *standstillCheck) check() {
+	sim := c.sim
+	running := c.running()
+
+	standing := make(map[mill.TaskID]time.Time)
+	if sim.now.Sub(sim.allCalmSince()) < simCalmTime {
+		c.since = standing
+
+		return
+	}
+
+	for _, job := range sim.state.OpenJobs() {
+		if job.Finished() {
+			continue
+		}
+
+		for number, occurrence := range job.DueOccurrences(sim.now.UnixMilli()) {
+			for index := range occurrence.Steps {
+				id := mill.StepID{Job: job.ID, Occurrence: number, Step: index}
+				if occurrence.Ready(&job.Work, index) && !occurrence.Steps[index].Complete() {
+					c.checkStep(job, id, &occurrence.Steps[index], running, standing)
+				}
+			}
+		}
+	}
+
+	c.since = standing
+}
+
+// running returns the jobs of which a task runs.
+func (c *standstillCheck) running() map[string]bool {
+	running := make(map[string]bool)
+
+	for _, e := range c.sim.executors {
+		for task, a := range e.running {
+			running[task.Job] = true
+
+			if a.step.LongRunning {
+				c.lastRan[task] = c.sim.now
+			}
+		}
+	}
+
+	return running
+}
+
+func (c *standstillCheck) checkStep(
+	job *jobs.Job, id mill.StepID, state *jobs.Step, running map[string]bool, standing map[mill.TaskID]time.Time,
+) {
+	step := &job.Work.Steps[id.Step]
+
+	if !step.LongRunning {
+		if !running[job.ID] {
+			c.checkTask(job, id.Task(0), step, c.sim.now, standing)
+		}
+
+		return
+	}
+
+	for at := range state.Tasks {
+		task := id.Task(at)
+		ran := c.lastRan[task]
+
+		if !ran.Equal(c.sim.now) {
+			c.checkTask(job, task, step, ran.Add(simRestartGap), standing)
+		}
+	}
+}
+
+// checkTask checks a task of a job that does not run, or the only one of those of a step that stands for all.
+func (c *standstillCheck) checkTask(
+	job *jobs.Job, task mill.TaskID, step *mill.Step, from time.Time, standing map[mill.TaskID]time.Time,
+) {
+	sim := c.sim
+
+	places, needed := sim.places(task.StepID, step), simRoomFactor
+	if step.Gang {
+		needed *= step.Count
+	}
+
+	if places < needed {
+		return
+	}
+
+	since, ok := c.since[task]
+	if !ok {
+		since = sim.now
+		if from.After(since) {
+			since = from
+		}
+	}
+
+	standing[task] = since
+
+	if sim.now.Sub(since) > simStandstillTime {
+		sim.t.Fatalf("%s: job %s has nothing running since %s, and %s has room for %d tasks\n%s", sim.elapsed(), job.ID,
+			since.Sub(simStart), task.StepID, places, sim.explain(job.ID))
+	}
+}
+
+// places returns how many tasks of a step have room on the executors that the advisor allows.
+func (sim *simulation) places(id mill.StepID, step *mill.Step) int {
+	queue := sim.queue(id.Job)
+	places := 0
+
+	for _, e := range sim.executors {
+		if !e.reachable() || e.draining || e.leaving || e.pool != queue.Service ||
+			queue.Advice != nil && !sim.advisorAllows(id, e.id) || sim.inMaintenance(e) {
+			continue
+		}
+
+		fit := step.Reserves().TimesIn(e.capacity.Sub(e.used()))
+		if step.MaxPerWorker > 0 {
+			fit = min(fit, step.MaxPerWorker-e.countTasks(id))
+		}
+
+		places += max(0, fit)
+	}
+
+	return places
+}
+
+// inMaintenance reports whether the leader keeps an executor's machine free for its maintenance.
+func (sim *simulation) inMaintenance(e *executor) bool {
+	w, ok := sim.leader.scheduler.workers[e.id]
+
+	return ok && sim.leader.scheduler.maintenanceOf(w) != nil
+}
+
+// allCalmSince returns when the last disturbance ended: of the leader, of orders and reports, or of an executor.
+func (sim *simulation) allCalmSince() time.Time {
+	since := sim.disturbedAt
+
+	for _, e := range sim.executors {
+		disturbed := e.disturbedAt
+		if !e.up {
+			disturbed = e.crashedAt // One that stays away disturbs nothing else.
+		}
+
+		if disturbed.After(since) {
+			since = disturbed
+		}
+	}
+
+	return since
+}
+
+func (e *executor) countTasks(id mill.StepID) int {
+	count := 0
+
+	for task := range e.running {
+		if task.StepID == id {
+			count++
+		}
+	}
+
+	return count
+}
--- a/internal/lead/transport_test.go
+++ b/internal/lead/transport_test.go
@@ -141,7 +141,7 @@
 		return
 	}
 
-	sim.after(simDecideTime, func() {
+	sim.after(sim.decideTime, func() {
 		answer := &mill.Advice{Validity: simValidity}
 
 		for _, id := range request.Workers {
