Let jobs that stand still try workers that are quarantined or on probation

Jobs stood still while the only room was on workers that had failed tasks and had recovered: a quarantine lasts up to 16 s, and then the worker takes one task at a time until one has succeeded, which takes as long as the task.

A job that stands still and has no other room may now try such a worker 2 s after its last failure, which is the shortest quarantine: with one task, and with others once a task has been at work there for 2 s without failing. Each failure puts the next try off by 2 s. Other jobs keep to the quarantine, and other workers come first by a penalty that outweighs the rest.

--- a/internal/lead/advice_reserve.go
+++ b/internal/lead/advice_reserve.go
@@ -75,7 +75,7 @@
 		return p.pool(c).fitting(c)
 	}
 
-	return s.acceptingWorkers(c.advice.requested, p.now)
+	return s.acceptingWorkers(c, c.advice.requested, p.now)
 }
 
 // ticketRenewable reports whether the advisor is known to allow the worker, so that only its ticket
--- a/internal/lead/backlog.go
+++ b/internal/lead/backlog.go
@@ -77,6 +77,7 @@
 		queue:         queue,
 		step:          &job.Work.Steps[id.Step],
 		deliveryDelay: commitDelay + s.bounds.MaxDeliveryDelay,
+		now:           s.plannedAt,
 	}
 }
 
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -78,6 +78,8 @@
 	isolated  bool
 	// heldBack says that the step is left out of the plan because it is deferrable and its pool is nearly full.
 	heldBack bool
+	// now is the time of the plan.
+	now time.Time
 	// overdue says that the step comes before all others because nothing of its job runs; see plan.Overdue.
 	overdue bool
 }
@@ -148,8 +150,9 @@
 			Free:     w.unreserved(),
 		},
 		StepTasks:   stepTasks,
-		OnProbation: w.health.OnProbation(),
+		OnProbation: w.health.OnProbation() && (!c.overdue || w.tried() && !w.proven(c.now)),
 		Tried:       w.tried(),
+		Quarantined: !w.health.Schedulable(c.now),
 		Busy:        len(w.runs) > 0,
 		Contended:   c.step.BestEffort && w.servingRuns > 0 || c.step.TailLatencyTarget > 0 && w.bestEffortMilliCores > 0,
 		Slowness:    w.slowness.Factor(),
--- a/internal/lead/overdue.go
+++ b/internal/lead/overdue.go
@@ -116,7 +116,7 @@
 			w := s.workersByIndex[index]
 			s.examinedWorkers++
 
-			if !perTask.Fits(w.unreserved()) || !c.compatible(w) || w.isolatingRuns > 0 || w.tried() {
+			if !perTask.Fits(w.unreserved()) || !c.compatible(w) || w.isolatingRuns > 0 || w.tried() && !w.proven(p.now) {
 				return true
 			}
 
@@ -132,16 +132,25 @@
 	return false
 }
 
+// usableWorkers returns the workers of a pool that had the capacity for a task of the step when the pass began.
+func (c *candidate) usableWorkers(among *pool) []*worker {
+	if !c.overdue {
+		return among.fitting(c)
+	}
+
+	return slices.Collect(among.eachOverdue(c))
+}
+
 // renewAdvice has the advisor asked for new tickets of workers that it is known to allow, and reserves room on them until it
 // has answered.
 func (s *Scheduler) renewAdvice(c *candidate, p *pass) {
 	if c.advice.requestPending {
-		s.reserveOn(c, c.together(), s.acceptingWorkers(c.advice.requested, p.now), c.allowsEver)
+		s.reserveOn(c, c.together(), s.acceptingWorkers(c, c.advice.requested, p.now), c.allowsEver)
 
 		return
 	}
 
-	if p.mayRequest(c) && s.reserveOn(c, c.together(), p.pool(c).fitting(c), c.allowsEver) {
+	if p.mayRequest(c) && s.reserveOn(c, c.together(), c.usableWorkers(p.pool(c)), c.allowsEver) {
 		p.request(s.newAdviceRequest(c, p.nextAddress(), s.addUnknownWorkers(c, p)))
 	}
 }
@@ -156,7 +165,7 @@
 	names := s.adviceNames(c)
 	c.adviceWanted = make([]string, 0, names)
 
-	for w := range p.pool(c).eachFitting(c) {
+	for w := range p.pool(c).eachOverdue(c) {
 		if len(c.adviceWanted) < names && c.compatible(w) && !c.advice.answeredFor[w.status.ID] {
 			c.adviceWanted = append(c.adviceWanted, w.status.ID)
 		}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -168,7 +168,7 @@
 // with a valid ticket, or all of the pool if the queue needs no advice.
 func (s *Scheduler) ticketHolders(c *candidate, p *pass) []*worker {
 	if c.advice == nil {
-		return p.pool(c).fitting(c)
+		return c.usableWorkers(p.pool(c))
 	}
 
 	if !c.ticketsValid(p.now) {
@@ -183,7 +183,7 @@
 		}
 	}
 
-	return s.acceptingWorkers(ids, p.now)
+	return s.acceptingWorkers(c, ids, p.now)
 }
 
 func (w *worker) countTasks(step mill.StepID) int {
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -98,7 +98,9 @@
 	// it has looked for such workers.
 	reservedWorkers     int
 	reservationSearches int
-	// members holds the workers.
+	// quarantined are workers that only overdue steps may try.
+	quarantined []*worker
+	// members holds the workers and the quarantined ones.
 	members workerSet
 	// isolatingWorkers counts the workers with a suspected task that take no other new runs.
 	isolatingWorkers int
@@ -181,6 +183,23 @@
 	return p.byFreeCapacity(c).eachFitting(c.step.Reserves())
 }
 
+// eachOverdue yields the workers that an overdue step may use: those that eachFitting yields, and then quarantined ones.
+func (p *pool) eachOverdue(c *candidate) iter.Seq[*worker] {
+	return func(yield func(w *worker) bool) {
+		for w := range p.eachFitting(c) {
+			if !yield(w) {
+				return
+			}
+		}
+
+		for _, w := range p.quarantined {
+			if c.step.Reserves().Fits(w.free()) && !yield(w) {
+				return
+			}
+		}
+	}
+}
+
 // mostFreeIDs returns the ids of those workers with the most free capacity that could run the step if they were empty and
 // that pass the filter, at most as many as the limit; a nil filter passes all.
 func (p *pool) mostFreeIDs(c *candidate, limit int, filter func(w *worker) bool) []string {
@@ -223,7 +242,7 @@
 	s.examinedWorkers += len(s.workers)
 
 	for _, w := range s.workersByID() {
-		if !s.acceptsWork(w, now) {
+		if !s.acceptsOverdue(w, now) {
 			continue
 		}
 
@@ -236,7 +255,12 @@
 		}
 
 		found.members.add(w.index)
-		found.add(w)
+
+		if w.health.Schedulable(now) {
+			found.add(w)
+		} else {
+			found.quarantined = append(found.quarantined, w)
+		}
 	}
 
 	return pools
@@ -245,7 +269,13 @@
 // acceptsWork reports whether a worker may be given new work: it is usable, it has capacity, how much of it is free is
 // known, and its machine is not being drained for maintenance.
 func (s *Scheduler) acceptsWork(w *worker, now time.Time) bool {
-	return w.usable(now) && w.status.Capacity.Valid() && s.capacityKnown(w, now) && s.maintenanceOf(w) == nil
+	return w.health.Schedulable(now) && s.acceptsOverdue(w, now)
+}
+
+// acceptsOverdue reports whether a worker may be given work of an overdue step: also one that is quarantined, now and then.
+func (s *Scheduler) acceptsOverdue(w *worker, now time.Time) bool {
+	return w.answers(now) && (w.health.Schedulable(now) || w.health.MayTry(now)) && w.status.Capacity.Valid() &&
+		s.capacityKnown(w, now) && s.maintenanceOf(w) == nil
 }
 
 // capacityKnown reports whether the worker's status is recent enough to rely on its capacity, which may shrink, and
@@ -254,13 +284,13 @@
 	return !w.hasUnknownRuns && now.Sub(w.statusSentAt) < s.bounds.statusValidity()
 }
 
-// acceptingWorkers returns the workers with the given ids that accept new work.
-func (s *Scheduler) acceptingWorkers(ids []string, now time.Time) []*worker {
+// acceptingWorkers returns the workers with the given ids that accept new work of a step.
+func (s *Scheduler) acceptingWorkers(c *candidate, ids []string, now time.Time) []*worker {
 	found := make([]*worker, 0, len(ids))
 	s.examinedWorkers += len(ids)
 
 	for _, id := range ids {
-		if w, ok := s.workers[id]; ok && s.acceptsWork(w, now) {
+		if w, ok := s.workers[id]; ok && (s.acceptsWork(w, now) || c.overdue && s.acceptsOverdue(w, now)) {
 			found = append(found, w)
 		}
 	}
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -106,6 +106,7 @@
 			a.tickets[r.worker.status.ID] = ticket{}
 		}
 	case mill.OutcomeUnhealthy:
+		r.worker.health.DelayTry(now)
 		r.worker.health.RecordFailure(r.task.Job, 1, now)
 	default:
 		r.worker.health.Quarantine(now)
--- a/internal/lead/room.go
+++ b/internal/lead/room.go
@@ -48,7 +48,7 @@
 	found.places += places
 	found.workers++
 
-	if !s.acceptsWork(w, now) || w.isolatingRuns > 0 || w.tried() {
+	if !s.acceptsOverdue(w, now) || w.isolatingRuns > 0 || w.tried() && !w.proven(now) {
 		return
 	}
 
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -67,6 +67,8 @@
 	// waits holds since when the steps that wait do so, and longestWait is the one that does so for the longest time.
 	waits       map[mill.StepID]time.Time
 	longestWait *candidate
+	// plannedAt is when the last plan began.
+	plannedAt time.Time
 	// idleSince holds since when steps that wait belong to jobs of which nothing runs, and lastCandidates the steps of the
 	// last plan.
 	idleSince      map[mill.StepID]time.Time
@@ -293,6 +295,7 @@
 func (s *Scheduler) Next(now time.Time, wallMilli int64, state *jobs.State) Actions {
 	var actions Actions
 
+	s.plannedAt = now
 	s.examinedWorkers = 0
 	s.stopUnwanted(state)
 	s.settle(&actions, now)
@@ -461,6 +464,8 @@
 			s.recordRunTime(f.run, now.Sub(f.run.startedAt))
 		}
 	case mill.FinishFailed:
+		health.DelayTry(now)
+
 		// A task that has failed before, probably elsewhere, says nothing about this worker.
 		if !f.run.failedBefore {
 			health.RecordFailure(f.run.task.Job, s.failureRates.FailureWeight(f.run.queue), now)
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -187,13 +187,29 @@
 	return false
 }
 
-// usable reports whether the worker may be given new work.
-func (w *worker) usable(now time.Time) bool {
+// proven reports whether a run that was placed on probation has been at work for long enough.
+func (w *worker) proven(now time.Time) bool {
+	for _, r := range w.runs {
+		if r.phase == runStarted && r.percent > 0 && w.health.Proves(r.placedAt, now.Sub(r.startedAt)) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// answers reports whether the worker reports and answers, and is not about to stop.
+func (w *worker) answers(now time.Time) bool {
 	if w.gone || w.leaving || w.lastHeard.IsZero() || w.status.Draining || !w.clock.known() {
 		return false
 	}
 
-	return w.failedRenewals == 0 && now.Sub(w.lastHeard) < reportTimeout && w.health.Schedulable(now)
+	return w.failedRenewals == 0 && now.Sub(w.lastHeard) < reportTimeout
+}
+
+// usable reports whether the worker may be given new work.
+func (w *worker) usable(now time.Time) bool {
+	return w.answers(now) && w.health.Schedulable(now)
 }
 
 // sentAt returns when the worker has sent a status that was received at the given time, by its clock.
--- a/internal/plan/placement.go
+++ b/internal/plan/placement.go
@@ -14,6 +14,8 @@
 	// OnProbation means that the worker may be given only one task at a time, and Tried that it has got one.
 	OnProbation bool
 	Tried       bool
+	// Quarantined workers are only used if no other has room.
+	Quarantined bool
 	// Busy means that the worker has at least one task, of any step.
 	Busy bool
 	// Contended means that the task would interfere with tasks on the worker, or they with it.
@@ -52,6 +54,9 @@
 // busyPenalty is the penalty for workers with tasks where idle ones are preferred: it outweighs all else.
 const busyPenalty = 2000
 
+// quarantinePenalty is the penalty for workers that seem faulty: it outweighs all else together.
+const quarantinePenalty = 4000
+
 // BestWorker returns the index of the worker with the highest score that can take one more task, or -1.
 // The avoid function, unless nil, excludes workers.
 func BestWorker(workers []CandidateWorker, demand *Demand, placer mill.Placer, avoid func(worker string) bool) int {
@@ -79,6 +84,10 @@
 		score -= contentionPenalty
 	}
 
+	if w.Quarantined {
+		score -= quarantinePenalty
+	}
+
 	if demand.PreferIdle && w.Busy {
 		score -= busyPenalty
 	}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -242,3 +242,28 @@
 	health.RecordAtWork(after, provenAfter)
 	assert.Assert(t, !health.OnProbation())
 }
+
+// TestQuarantinedWorkerIsTriedNowAndThen checks that a quarantined worker may be tried before its quarantine ends, and that
+// each failure there delays the next try.
+func TestQuarantinedWorkerIsTriedNowAndThen(t *testing.T) {
+	var health WorkerHealth
+
+	assert.Assert(t, !health.MayTry(start), "a healthy worker needs no try")
+
+	health.Quarantine(start)
+	health.Quarantine(start.Add(initialQuarantine))
+
+	longer := start.Add(initialQuarantine)
+	tried := longer.Add(initialQuarantine)
+	assert.Assert(t, !health.Schedulable(tried))
+	assert.Assert(t, !health.MayTry(tried.Add(-time.Millisecond)))
+	assert.Assert(t, health.MayTry(tried))
+	assert.Assert(t, health.Tries(tried))
+
+	health.DelayTry(tried)
+	assert.Assert(t, !health.MayTry(tried.Add(initialQuarantine-time.Millisecond)))
+	assert.Assert(t, health.MayTry(tried.Add(initialQuarantine)))
+	assert.Assert(t, health.Tries(tried), "a run from before the failure still tries the worker")
+	assert.Assert(t, !health.Proves(tried, provenAfter-time.Millisecond))
+	assert.Assert(t, health.Proves(tried, provenAfter))
+}
--- a/internal/plan/worker_health.go
+++ b/internal/plan/worker_health.go
@@ -16,8 +16,8 @@
 	maxQuarantine = 16 * time.Second
 	// maxQuarantineDoublings limits the shift of initialQuarantine.
 	maxQuarantineDoublings = 8
-	// provenAfter is how long a long-running task must be at work on a worker on probation: as long as the first
-	// quarantine, for which the worker was not tried.
+	// provenAfter is how long a task must be at work on a worker on probation to prove it: as long as the first quarantine,
+	// for which the worker was not tried.
 	provenAfter = initialQuarantine
 	// failureRateWeight is the weight of the newest run in the moving average of a queue's failure rate.
 	failureRateWeight = 0.05
@@ -31,6 +31,10 @@
 	failedJobs       []string
 	quarantines      int
 	quarantinedUntil time.Time
+	// triesFrom is when the worker may be tried for the first time since it was quarantined, and nextTry when again after the
+	// last failure.
+	triesFrom time.Time
+	nextTry   time.Time
 }
 
 // RecordSuccess records a successful run, which clears the evidence.
@@ -58,11 +62,14 @@
 func (h *WorkerHealth) Quarantine(now time.Time) {
 	h.evidence = quarantineThreshold - 1
 	h.failedJobs = nil
+	h.nextTry = now.Add(initialQuarantine)
 
 	if now.Before(h.quarantinedUntil) {
 		return
 	}
 
+	h.triesFrom = h.nextTry
+
 	h.quarantinedUntil = now.Add(min(maxQuarantine, initialQuarantine<<min(h.quarantines, maxQuarantineDoublings)))
 	h.quarantines++
 }
@@ -81,13 +88,30 @@
 // Tries reports whether a run that was placed at the given time shows whether a worker on probation still fails: one from
 // before the quarantine does not.
 func (h *WorkerHealth) Tries(placedAt time.Time) bool {
-	return h.OnProbation() && !placedAt.Before(h.quarantinedUntil)
+	return h.OnProbation() && !placedAt.Before(h.triesFrom)
+}
+
+// MayTry reports whether a worker on probation may be tried by a job that has no other room, also while it is quarantined:
+// the longer quarantines are for work that can run elsewhere.
+func (h *WorkerHealth) MayTry(now time.Time) bool {
+	return h.OnProbation() && !now.Before(h.nextTry)
+}
+
+// DelayTry records that a run on a worker on probation has failed, whatever that says about the worker.
+func (h *WorkerHealth) DelayTry(now time.Time) {
+	h.nextTry = now.Add(initialQuarantine)
+}
+
+// Proves reports whether a run that was placed at the given time, and has been at work for the given time, shows that a
+// worker on probation may be given more.
+func (h *WorkerHealth) Proves(placedAt time.Time, atWork time.Duration) bool {
+	return h.Tries(placedAt) && atWork >= provenAfter
 }
 
 // RecordAtWork records that a long-running run, which never succeeds, has been at work for the given time. It clears the
 // evidence if the run was placed on probation.
 func (h *WorkerHealth) RecordAtWork(placedAt time.Time, atWork time.Duration) {
-	if h.Tries(placedAt) && atWork >= provenAfter {
+	if h.Proves(placedAt, atWork) {
 		h.RecordSuccess()
 	}
 }
