Look for room on allowed workers only where a task fits on one of them

Plans of a long backlog took longer since jobs that stand still come first, and the pause after a plan is three times as long. Steps with advice now pass over the search for workers if no allowed one has room for a task, and are asked about only if a worker that the advisor was not asked about has. The sets of answered and allowed workers also learn of workers that come back under their id; checkIndexes compares them with the answers in every simulation.

--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -52,6 +52,17 @@
 	}
 }
 
+// know adds a worker to the sets of those that the advisor has answered for and allows.
+func (a *advice) know(w *worker) {
+	if a.answeredFor[w.status.ID] {
+		a.answered.add(w.index)
+	}
+
+	if _, ok := a.tickets[w.status.ID]; ok {
+		a.allowed.add(w.index)
+	}
+}
+
 // candidate is a step with tasks that are ready to be placed.
 type candidate struct {
 	id    mill.StepID
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -393,12 +393,28 @@
 
 		sim.checkUnproven(w)
 
+		sim.checkAdviceSets(s, w)
+
 		if w.recordCurrent && (w.recorded == nil || !w.recorded.SameStableFields(&w.status)) {
 			sim.t.Fatalf("%s: the record of %s is out of date", sim.elapsed(), w.status.ID)
 		}
 	}
 }
 
+// checkAdviceSets compares the sets of workers that the advisor has answered for and allows with the answers.
+func (sim *simulation) checkAdviceSets(s *Scheduler, w *worker) {
+	for id, a := range s.advice {
+		bit := uint64(1) << (w.index % wordBits)
+		answered := a.answered.word(w.index/wordBits)&bit != 0
+		allowed := a.allowed.word(w.index/wordBits)&bit != 0
+		_, hasTicket := a.tickets[w.status.ID]
+
+		if answered != a.answeredFor[w.status.ID] || allowed != hasTicket {
+			sim.t.Fatalf("%s: the sets of workers of %s are out of date for %s", sim.elapsed(), id, w.status.ID)
+		}
+	}
+}
+
 // checkUnproven compares the counts of unproven runs with the runs.
 func (sim *simulation) checkUnproven(w *worker) {
 	unproven, isolating := 0, 0
--- a/internal/lead/overdue.go
+++ b/internal/lead/overdue.go
@@ -80,7 +80,7 @@
 	needed := plan.RoomFactor * c.together()
 
 	if c.advice != nil {
-		return s.hasRoom(c, p, func(at int) uint64 { return c.advice.allowed.word(at) })
+		return s.hasRoom(c, p, c.advice.allowed.word)
 	}
 
 	demand := c.roomDemand()
@@ -102,29 +102,44 @@
 
 // mayHaveRoom reports whether there is such room on the workers that the advisor, as far as it was asked, has not refused.
 func (s *Scheduler) mayHaveRoom(c *candidate, p *pass) bool {
-	return s.hasRoom(c, p, func(at int) uint64 { return c.advice.allowed.word(at) | ^c.advice.answered.word(at) })
+	unknown := func(at int) uint64 { return ^c.advice.answered.word(at) }
+	if !s.fitsOn(c, p, unknown) {
+		return false
+	}
+
+	return s.hasRoom(c, p, func(at int) uint64 { return c.advice.allowed.word(at) | unknown(at) })
+}
+
+// fitsOn reports whether a task of the step fits on some worker of a set, which is given by its words.
+func (s *Scheduler) fitsOn(c *candidate, p *pass, set func(at int) uint64) bool {
+	perTask := c.step.Reserves()
+
+	return s.eachMember(p.pool(c), set, func(w *worker) bool { return !perTask.Fits(w.unreserved()) })
 }
 
 // hasRoom reports whether there is such room on the workers of a pool that are in a set, which is given by its words.
 func (s *Scheduler) hasRoom(c *candidate, p *pass, set func(at int) uint64) bool {
 	needed := plan.RoomFactor * c.together()
 	perTask := c.step.Reserves()
-	members := p.pool(c).members
 
-	for at := range members {
-		enough := !eachIndex(at, members[at]&set(at), func(index int) bool {
-			w := s.workersByIndex[index]
-			s.examinedWorkers++
+	return s.eachMember(p.pool(c), set, func(w *worker) bool {
+		s.examinedWorkers++
+
+		if !perTask.Fits(w.unreserved()) || !c.compatible(w) || w.isolatingRuns > 0 || w.tried() && !w.proven(p.now) {
+			return true
+		}
 
-			if !perTask.Fits(w.unreserved()) || !c.compatible(w) || w.isolatingRuns > 0 || w.tried() && !w.proven(p.now) {
-				return true
-			}
+		needed -= c.places(w, w.unreserved())
 
-			needed -= c.places(w, w.unreserved())
+		return needed > 0
+	})
+}
 
-			return needed > 0
-		})
-		if enough {
+// eachMember calls a function with each worker of a pool that is in a set, which is given by its words, until it returns
+// false, and reports whether it did.
+func (s *Scheduler) eachMember(among *pool, set func(at int) uint64, do func(w *worker) bool) bool {
+	for at, word := range among.members {
+		if !eachIndex(at, word&set(at), func(index int) bool { return do(s.workersByIndex[index]) }) {
 			return true
 		}
 	}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -100,7 +100,7 @@
 	c *candidate, count int, p *pass, filter func(w *worker) bool,
 ) (chosen []int, workers []*worker) {
 	anywhere := c.advice == nil && filter == nil && !c.overdue
-	if anywhere && p.withoutPlace[c.roomDemand()] {
+	if anywhere && p.withoutPlace[c.roomDemand()] || c.advice != nil && !s.fitsOn(c, p, c.advice.allowed.word) {
 		return nil, nil
 	}
 
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -393,10 +393,6 @@
 		}
 
 		a.answeredFor[id] = true
-
-		if w, known := s.workers[id]; known {
-			a.answered.add(w.index)
-		}
 	}
 
 	// Workers that were asked about again are known to be allowed, so such an answer says nothing about the share.
@@ -406,9 +402,10 @@
 
 	for _, t := range reply.Tickets {
 		a.add(t.Worker, ticket{text: t.Text, validUntil: now.Add(reply.Validity - ticketMargin)})
-
-		if w, known := s.workers[t.Worker]; known {
-			a.allowed.add(w.index)
+	}
+	for _, id := range request.Workers {
+		if w, ok := s.workers[id]; ok {
+			a.know(w)
 		}
 	}
 }
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -176,6 +176,10 @@
 		w.index = len(s.workersByIndex)
 		s.workers[id] = w
 		s.workersByIndex = append(s.workersByIndex, w)
+
+		for _, a := range s.advice {
+			a.know(w)
+		}
 		s.sortedWorkers = nil
 	}
 
