--- a/GNUmakefile
+++ b/GNUmakefile
@@ -4,6 +4,7 @@
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 FORMATTER := mvdan.cc/gofumpt@v0.12.0
 FUZZTIME ?= 10m
+SEEDS ?= 3
 
 .PHONY: build
 build: ## Build both programs into build/.
@@ -18,6 +19,10 @@
 fuzz: ## Run the state machine tests with fresh seeds for FUZZTIME.
 	./scripts/fuzz.sh $(FUZZTIME)
 
+.PHONY: soak
+soak: ## Kill the leader of real processes under load and look for jobs that stand still, with SEEDS fresh seeds.
+	MILL_SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 3h -v -run TestSoakStandstill ./platform/soak
+
 .PHONY: lint
 lint: $(BUILD)/golangci-lint $(BUILD)/gofumpt ## Check the formatting and run the linter.
 	test -z "$$($(BUILD)/gofumpt -l . | tee -a /dev/stderr)"
