Start the jobs that stand still after the order, in any room that it leaves

Overdue steps came before the order of precedence.

They now come after the order, in the same plan, in all room that is left: headroom, and what is reserved. The promise does not need more: what the order has taken is no room beside which a job stands still. There is still no budget, and their requests for advice are still sent first, but only for room that the order has left.

--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -91,7 +91,7 @@
 	heldBack bool
 	// now is the time of the plan.
 	now time.Time
-	// overdue says that the step comes before all others because nothing of its job runs; see plan.Overdue.
+	// overdue says that the step starts in any room there is, also in what is reserved; see plan.Overdue.
 	overdue bool
 }
 
@@ -158,7 +158,7 @@
 			ID:       w.status.ID,
 			Rack:     w.status.Rack,
 			Capacity: w.status.Capacity,
-			Free:     w.unreserved(),
+			Free:     c.room(w),
 		},
 		StepTasks:   stepTasks,
 		OnProbation: w.health.OnProbation() && (!c.overdue || w.tried() && !w.proven(c.now)),
@@ -186,7 +186,7 @@
 
 		s.examinedWorkers++
 
-		if w.isolatingRuns == 0 && perTask.Fits(w.unreserved()) && c.compatible(w) && (filter == nil || filter(w)) {
+		if w.isolatingRuns == 0 && perTask.Fits(c.room(w)) && c.compatible(w) && (filter == nil || filter(w)) {
 			described = append(described, c.describe(w))
 			eligible = append(eligible, w)
 		}
--- a/internal/lead/overdue.go
+++ b/internal/lead/overdue.go
@@ -10,24 +10,17 @@
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
-// startOverdue starts the steps whose jobs have had nothing running for too long, before all others and in any room there
-// is, the longest idle first: one task of each, or its gang, if there is room for plan.RoomFactor times that. Their other
-// tasks keep to the order of precedence. A step without room takes nothing from those after it. For a step that only lacks
-// advice, the advisor is asked.
+// startOverdue starts the steps whose jobs have had nothing running for too long in any room that the order has left, also in
+// headroom and in what is reserved, the longest idle first: one task of each, or its gang, if there is room for
+// plan.RoomFactor times that. A step without room takes nothing from those after it. For a step that only lacks advice, the
+// advisor is asked before all others.
 func (s *Scheduler) startOverdue(candidates []*candidate, p *pass) []jobs.Command {
 	var commands []jobs.Command
 
 	for _, c := range s.overdueSteps(candidates, p) {
-		if p.startedJobs[c.id.Job] && !c.step.LongRunning {
-			continue
+		if len(c.waiting) > 0 && (c.step.LongRunning || !p.startedJobs[c.id.Job]) {
+			commands = append(commands, s.startOne(c, p)...)
 		}
-
-		started := s.startOne(c, p)
-		if len(started) > 0 {
-			p.startedJobs[c.id.Job] = true
-		}
-
-		commands = append(commands, started...)
 	}
 
 	return commands
@@ -74,7 +67,7 @@
 	return nil
 }
 
-// hasAllowedRoom reports whether the workers that the advisor is known to allow have unreserved room for plan.RoomFactor
+// hasAllowedRoom reports whether the workers that the advisor is known to allow have room for plan.RoomFactor
 // times what an overdue step starts.
 func (s *Scheduler) hasAllowedRoom(c *candidate, p *pass) bool {
 	needed := plan.RoomFactor * c.together()
@@ -114,7 +107,7 @@
 func (s *Scheduler) fitsOn(c *candidate, p *pass, set func(at int) uint64) bool {
 	perTask := c.step.Reserves()
 
-	return s.eachMember(p.pool(c), set, func(w *worker) bool { return !perTask.Fits(w.unreserved()) })
+	return s.eachMember(p.pool(c), set, func(w *worker) bool { return !perTask.Fits(c.room(w)) })
 }
 
 // hasRoom reports whether there is such room on the workers of a pool that are in a set, which is given by its words.
@@ -125,11 +118,11 @@
 	return s.eachMember(p.pool(c), set, func(w *worker) bool {
 		s.examinedWorkers++
 
-		if !perTask.Fits(w.unreserved()) || !c.compatible(w) || w.isolatingRuns > 0 || w.tried() && !w.proven(p.now) {
+		if !perTask.Fits(c.room(w)) || !c.compatible(w) || w.isolatingRuns > 0 || w.tried() && !w.proven(p.now) {
 			return true
 		}
 
-		needed -= c.places(w, w.unreserved())
+		needed -= c.places(w, c.room(w))
 
 		return needed > 0
 	})
@@ -189,6 +182,15 @@
 	p.request(s.newAdviceRequest(c, p.nextAddress(), s.addUnknownWorkers(c, p)))
 }
 
+// room returns the capacity of a worker that the step may use.
+func (c *candidate) room(w *worker) mill.Resources {
+	if c.overdue {
+		return w.free()
+	}
+
+	return w.unreserved()
+}
+
 // places returns how many tasks of the step a worker may take in the given part of its capacity.
 func (c *candidate) places(w *worker, free mill.Resources) int {
 	places := c.step.Reserves().TimesIn(free)
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -10,22 +10,17 @@
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
-// place starts the steps that are overdue, and then goes through all steps in order of precedence. It allocates workers to
-// their tasks, and returns the placements to commit.
+// place goes through all steps in order of precedence, and then starts those that are overdue in any room that is left. It
+// allocates workers to their tasks, and returns the placements to commit.
 func (s *Scheduler) place(candidates []*candidate, p *pass) []jobs.Command {
-	for _, c := range candidates {
-		c.tasksPerWorker = c.step.Reserves().TimesIn(p.pool(c).minCapacity)
-	}
-
-	commands := s.startOverdue(candidates, p)
+	commands := make([]jobs.Command, 0, len(candidates))
 
 	for _, c := range candidates {
-		if len(c.waiting) > 0 {
-			commands = append(commands, s.placeInOrder(c, p)...)
-		}
+		c.tasksPerWorker = c.step.Reserves().TimesIn(p.pool(c).minCapacity)
+		commands = append(commands, s.placeInOrder(c, p)...)
 	}
 
-	return commands
+	return append(commands, s.startOverdue(candidates, p)...)
 }
 
 // placeInOrder places the tasks of a step whose turn has come. For tasks that cannot be placed yet it may reserve capacity,
@@ -76,6 +71,10 @@
 	number := s.nextGangRun(c)
 	commands := make([]jobs.Command, 0, len(chosen))
 
+	if len(chosen) > 0 {
+		p.startedJobs[c.id.Job] = true
+	}
+
 	if c.isolated && len(chosen) > 0 {
 		p.pool(c).isolatingWorkers++
 	}
