--- a/internal/lead/overdue.go
+++ b/internal/lead/overdue.go
@@ -10,8 +10,8 @@
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
-// startOverdue starts the steps whose jobs have had nothing running for too long in any room that the order has left, also in
-// headroom and in what is reserved, the longest idle first: one task of each, or its gang, if there is room for
+// startOverdue starts the steps whose jobs have had nothing running for too long in any room that the order has left, also
+// in headroom and in what is reserved, the longest idle first: one task of each, or its gang, if there is room for
 // plan.RoomFactor times that. A step without room takes nothing from those after it. For a step that only lacks advice, the
 // advisor is asked before all others.
 func (s *Scheduler) startOverdue(candidates []*candidate, p *pass) []jobs.Command {
