Drop a reservation that no step heeds any more

Since overdue steps come after the order, what renewAdvice reserved while a request was pending was cleared before the next plan looked at it, and the comment promised otherwise: the branch is gone. allowsEver repeated the look-up of allows, and mayBeAllowed both; they now call it.

Lint clean; TestFuzzStandstill, TestFuzzCalm and the tests of overdue, quarantined, reserved and advised steps pass (77.7 s).

--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -228,13 +228,9 @@
 
 // allowsEver reports whether the advisor is known to allow a worker, with a valid ticket or without.
 func (c *candidate) allowsEver(w *worker) bool {
-	if c.queue.Advice == nil {
-		return true
-	}
-
-	_, ok := c.advice.tickets[w.status.ID]
+	allowed, _ := c.allows(w.status.ID, c.now)
 
-	return ok
+	return allowed
 }
 
 // ticketsValid reports whether any ticket of the step will still be valid when an order decided at the given time is
--- a/internal/lead/overdue.go
+++ b/internal/lead/overdue.go
@@ -149,22 +149,14 @@
 	return slices.Collect(among.eachOverdue(c))
 }
 
-// renewAdvice has the advisor asked for new tickets of workers that it is known to allow, and reserves room on them until it
-// has answered.
+// renewAdvice has the advisor asked for new tickets of workers with room that it is known to allow.
 func (s *Scheduler) renewAdvice(c *candidate, p *pass) {
-	if c.advice.requestPending {
-		s.reserveOn(c, c.together(), s.acceptingWorkers(c, c.advice.requested, p.now), c.allowsEver)
-
-		return
-	}
-
 	if p.mayRequest(c) && s.reserveOn(c, c.together(), c.usableWorkers(p.pool(c)), c.allowsEver) {
 		p.request(s.newAdviceRequest(c, p.nextAddress(), s.addUnknownWorkers(c, p)))
 	}
 }
 
-// askAboutRoom has the advisor asked about workers with room that it was not asked about. Nothing is reserved: which of
-// them it allows is not known, and other overdue steps ask at the same time.
+// askAboutRoom has the advisor asked about workers with room that it was not asked about.
 func (s *Scheduler) askAboutRoom(c *candidate, p *pass) {
 	if !p.mayRequest(c) {
 		return
--- a/internal/lead/room.go
+++ b/internal/lead/room.go
@@ -28,7 +28,7 @@
 	var found room
 
 	for _, w := range s.workersByID() {
-		if !c.step.Reserves().Fits(w.free()) || !c.compatible(w) || !s.runsTasks(w, now) || !s.mayBeAllowed(c, w) {
+		if !c.step.Reserves().Fits(w.free()) || !c.compatible(w) || !s.runsTasks(w, now) || !c.mayBeAllowed(w) {
 			continue
 		}
 
@@ -67,8 +67,6 @@
 }
 
 // mayBeAllowed reports whether the advisor allows a worker, or has not answered anything about the step.
-func (s *Scheduler) mayBeAllowed(c *candidate, w *worker) bool {
-	allowed, _ := c.allows(w.status.ID, s.termStart)
-
-	return allowed || len(c.advice.answeredFor) == 0
+func (c *candidate) mayBeAllowed(w *worker) bool {
+	return c.allowsEver(w) || len(c.advice.answeredFor) == 0
 }
