--- a/review/stand-2/executor.go
+++ b/review/stand-2/executor.go
@@ -87,6 +87,8 @@
 	mu     sync.Mutex
 	places []*place
 	works  map[string]time.Duration
+	// startedJobs holds the jobs of which a run has started.
+	startedJobs map[string]bool
 	// lost counts the runs of each task that ended with a crash of their executor, and failed those that ended "failed".
 	lost   map[string]int
 	failed map[string]int
@@ -100,7 +102,7 @@
 func newFleet(r *record, service string, controls func(number int) []string) *fleet {
 	return &fleet{
 		record: r, controls: controls, service: service, room: map[string]int{"cpu": 16000, "mem_mb": 32768, "gpu": 0},
-		works: make(map[string]time.Duration), lost: make(map[string]int), failed: make(map[string]int),
+		works: make(map[string]time.Duration), startedJobs: make(map[string]bool), lost: make(map[string]int), failed: make(map[string]int),
 		together: make(map[string]int), gangs: make(map[string]*gang), failedGangs: make(map[string]map[int]bool),
 	}
 }
@@ -118,7 +120,7 @@
 	p.lives++
 
 	l := &life{
-		place: p, id: fmt.Sprintf("i-%03d-%d", p.number, p.lives), born: time.Now(), runs: make(map[string]*running),
+		place: p, id: fmt.Sprintf("i-%s-%03d-%d", p.fleet.service, p.number, p.lives), born: time.Now(), runs: make(map[string]*running),
 		barred: make(map[string]int), changed: make(chan struct{}),
 	}
 
@@ -267,6 +269,7 @@
 	job, _, _ := strings.Cut(o.Task, ".")
 	work := f.works[job]
 	members := f.join(job, o.Run)
+	f.startedJobs[job] = true
 	f.mu.Unlock()
 
 	f.record.line("executor %s starts %s run %d", l.id, o.Task, o.Run)
