--- a/review/stand-2/reborn.go
+++ b/review/stand-2/reborn.go
@@ -14,8 +14,8 @@
 	warmJobs = 12
 	longWork = 20 * time.Second
 	// restartTime is how long the executor is down, and lateTime how long its last answer is on its way.
-	restartTime = 200 * time.Millisecond
-	lateTime    = 1200 * time.Millisecond
+	restartTime = 600 * time.Millisecond
+	lateTime    = 1400 * time.Millisecond
 	quickWork   = 250 * time.Millisecond
 	slowerWork  = 400 * time.Millisecond
 	maxTries    = 8
