Log each outcome of a job with its reason and the attempts that counted

Each replica decides an outcome when it applies a log entry. Now it describes what decided it (jobs.Outcome): the reason, the task and the run, the attempts counted against the limit, and how often each member of a gang has ended as failed. All stores log failed jobs, so that their decisions can be compared by the log index; the leader logs the others too and counts mill_jobs_ended{reason}. More attempts than runs tells ends that are counted instead of runs; more than one failure of a member in one run, an end that is counted twice; the reason workersCrashed, a job given up. No decision changes.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -113,11 +113,11 @@
 		config:       config,
 		client:       wire.NewClient(),
 		storage:      storage,
-		stateMachine: newStateMachine(),
 		setupChanged: make(chan struct{}),
 		seeds:        config.Seeds,
 		placer:       place.Pack{},
 	}
+	c.stateMachine = newStateMachine(func() bool { return c.runner.Load() != nil }, config.Scope)
 	c.leaderClient = NewLeaderClient(c.client, config.Seeds, config.Address)
 	c.commitLatency = newCommitHistogram(config.Scope)
 
--- a/internal/core/state_machine.go
+++ b/internal/core/state_machine.go
@@ -4,10 +4,12 @@
 	"sync"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/internal/raft"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
 // stateMachine is the replicated state machine, with a lock for readers on other goroutines.
@@ -16,12 +18,15 @@
 	state *jobs.State
 	// results are the results of the entry applied last, or nil if it could not be decoded.
 	results []jobs.Result
+	// leading reports whether this process leads.
+	leading func() bool
+	metrics outcomeMetrics
 }
 
 var _ raft.StateMachine = (*stateMachine)(nil)
 
-func newStateMachine() *stateMachine {
-	return &stateMachine{state: jobs.NewState()}
+func newStateMachine(leading func() bool, scope tally.Scope) *stateMachine {
+	return &stateMachine{state: jobs.NewState(), leading: leading, metrics: newOutcomeMetrics(scope)}
 }
 
 // Apply executes the commands of one log entry.
@@ -37,13 +42,51 @@
 		return
 	}
 
+	m.reportOutcomes(index, m.execute(batch.Commands))
+}
+
+// execute executes commands and returns the outcomes of jobs that they decided.
+func (m *stateMachine) execute(commands []jobs.Command) []jobs.Outcome {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	m.results = make([]jobs.Result, len(batch.Commands))
-	for i := range batch.Commands {
-		m.results[i] = m.state.Apply(&batch.Commands[i])
+	m.results = make([]jobs.Result, len(commands))
+	for i := range commands {
+		m.results[i] = m.state.Apply(&commands[i])
+	}
+
+	return m.state.TakeOutcomes()
+}
+
+// reportOutcomes logs the outcomes that a log entry has decided. Each replica decides by itself, so all of them log the
+// failed jobs; the others are logged by the leader alone.
+func (m *stateMachine) reportOutcomes(index uint64, outcomes []jobs.Outcome) {
+	if len(outcomes) == 0 {
+		return
+	}
+
+	leading := m.leading()
+
+	for i := range outcomes {
+		if leading {
+			m.metrics.count(&outcomes[i])
+		}
+
+		if leading || outcomes[i].State == mill.JobFailed {
+			logOutcome(index, &outcomes[i], leading)
+		}
+	}
+}
+
+func logOutcome(index uint64, o *jobs.Outcome, leading bool) {
+	entry := log.Info().Str("job", o.Job).Str("queue", o.Queue).Str("outcome", string(o.State)).Str("reason", string(o.Reason))
+
+	if o.Decider.Run > 0 {
+		entry = entry.Str("task", o.Decider.Task.String()).Int("run", o.Decider.Run).Int("attempts", o.Attempts).
+			Int("maxAttempts", o.MaxAttempts).Ints("failures", o.Failures)
 	}
+
+	entry.Uint64("index", index).Bool("leading", leading).Msg("job ended")
 }
 
 // Save returns a snapshot of the state.
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -17,6 +17,8 @@
 	stored snapshot
 	// open holds the jobs that are not finished or have a run that may be active.
 	open map[string]*Job
+	// outcomes holds the outcomes that were decided since the last call of TakeOutcomes. They are not stored.
+	outcomes []Outcome
 }
 
 // snapshot is the part of the state that is stored.
@@ -184,7 +186,7 @@
 	}
 
 	if !job.Finished() {
-		s.finishJob(job, mill.JobCanceled)
+		s.finishJob(job, mill.JobCanceled, ReasonCanceled, nil)
 	}
 
 	return ResultApplied
@@ -275,7 +277,7 @@
 	job.CompleteOccurrences++
 
 	if job.CompleteOccurrences == job.Work.Occurrences() {
-		s.finishJob(job, mill.JobCompleted)
+		s.finishJob(job, mill.JobCompleted, ReasonTasksDone, finished)
 	}
 }
 
@@ -317,7 +319,7 @@
 	}
 
 	if job.failedAttempts(finished.Task) >= job.Queue.MaxAttempts {
-		s.finishJob(job, mill.JobFailed)
+		s.finishJob(job, mill.JobFailed, ReasonAttempts, finished)
 	}
 }
 
@@ -331,7 +333,7 @@
 	task.Suspicion += finished.Suspicion
 
 	if !job.Finished() && finished.GivesUp {
-		s.finishJob(job, mill.JobFailed)
+		s.finishJob(job, mill.JobFailed, ReasonCrashes, finished)
 	}
 }
 
@@ -351,9 +353,11 @@
 	return total
 }
 
-// finishJob sets the outcome of a job, after which none of its tasks starts any more.
-func (s *State) finishJob(job *Job, outcome mill.JobState) {
+// finishJob sets the outcome of a job, after which none of its tasks starts any more. The decider is the end of the run
+// that decided it; nil for none.
+func (s *State) finishJob(job *Job, outcome mill.JobState, reason OutcomeReason, decider *Finish) {
 	job.Outcome = outcome
+	s.recordOutcome(job, reason, decider)
 	s.stored.Finished = append(s.stored.Finished, job.ID)
 
 	if job.Placed == 0 {
