--- a/internal/jobs/state_test.go
+++ b/internal/jobs/state_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/cranberrymill/cranberrymill/internal/oracle"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/seeds"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
@@ -16,23 +17,25 @@
 	seeds.RunAndExit(m.Run, 2000)
 }
 
+// maxAttempts is the number of failed attempts at a task or a gang after which its job fails.
+const maxAttempts = 2
+
 func setup(version uint64, queues ...string) *mill.Setup {
 	s := &mill.Setup{Version: version, Services: []mill.Service{{Name: "pool"}}}
 	for _, name := range queues {
 		s.Queues = append(s.Queues, mill.Queue{
-			Name: name, Prefix: "/" + name + "/", Service: "pool", MaxAttempts: 2, Timeout: 1,
+			Name: name, Prefix: "/" + name + "/", Service: "pool", MaxAttempts: maxAttempts, Timeout: 1,
 		})
 	}
 
 	return s
 }
 
-// taskRecord is the oracle's expectation of one task.
+// taskRecord is the model's expectation of one task.
 type taskRecord struct {
-	run      int
-	active   bool
-	done     bool
-	failures int
+	run    int
+	active bool
+	done   bool
 	// sharedCrashes and soleCrashes count the crashes that the task is suspected of, since it was cleared.
 	sharedCrashes int
 	soleCrashes   int
@@ -51,21 +54,23 @@
 	return crashes >= 3 || crashes == 2 && r.soleCrashes > 0
 }
 
-// oracle is an independent model of the state, which predicts the result of every command.
-type oracle struct {
+// model is an independent model of the state, which predicts the result of every command.
+type model struct {
 	state   *State
 	version uint64
 	queues  map[string]bool
 	jobs    map[string]mill.Workload
 	outcome map[string]mill.JobState
 	tasks   map[mill.TaskID]*taskRecord
+	// attempts counts the failed attempts of tasks and gangs.
+	attempts oracle.Attempts
 }
 
 // TestFuzzState applies random commands, including stale, repeated and meaningless ones, saves and loads
-// the state between them, and compares it with the oracle.
+// the state between them, and compares it with the model.
 func TestFuzzState(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		o := &oracle{
+		o := &model{
 			state:   NewState(),
 			queues:  make(map[string]bool),
 			jobs:    make(map[string]mill.Workload),
@@ -81,13 +86,15 @@
 			"places":    o.place,
 			"end":       o.finish,
 			"ends":      o.finish,
+			"placeGang": o.placeGang,
+			"endGang":   o.finishGang,
 			"reload":    o.reload,
 			"":          o.check,
 		})
 	})
 }
 
-func (o *oracle) configure(t *rapid.T) {
+func (o *model) configure(t *rapid.T) {
 	version := uint64(rapid.IntRange(1, 20).Draw(t, "version"))
 	names := rapid.SampledFrom([][]string{{"a"}, {"a", "b"}, {"b"}}).Draw(t, "queues")
 	result := o.state.Apply(&Command{Setup: setup(version, names...)})
@@ -108,8 +115,8 @@
 	}
 }
 
-func (o *oracle) submit(t *rapid.T) {
-	id := fmt.Sprintf("job%d", rapid.IntRange(0, 4).Draw(t, "job"))
+func (o *model) submit(t *rapid.T) {
+	id := o.job(t)
 	queue := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "queue")
 	work := mill.Workload{Steps: []mill.Step{{Count: 2, Gang: rapid.Bool().Draw(t, "gang")}, {Count: 1, After: []int{0}}}}
 	result := o.state.Apply(&Command{Submit: &Submit{Job: id, Queue: queue, Work: work}})
@@ -128,8 +135,8 @@
 	}
 }
 
-func (o *oracle) cancel(t *rapid.T) {
-	id := fmt.Sprintf("job%d", rapid.IntRange(0, 4).Draw(t, "job"))
+func (o *model) cancel(t *rapid.T) {
+	id := o.job(t)
 	result := o.state.Apply(&Command{Cancel: &Cancel{Job: id}})
 
 	if _, ok := o.jobs[id]; !ok {
@@ -143,14 +150,17 @@
 	}
 }
 
-func (o *oracle) task(t *rapid.T) mill.TaskID {
+func (*model) job(t *rapid.T) string {
+	return fmt.Sprintf("job%d", rapid.IntRange(0, 4).Draw(t, "job"))
+}
+
+func (o *model) task(t *rapid.T) mill.TaskID {
 	step := rapid.IntRange(0, 1).Draw(t, "step")
 
-	return mill.StepID{Job: fmt.Sprintf("job%d", rapid.IntRange(0, 4).Draw(t, "job")), Step: step}.
-		Task(rapid.IntRange(0, 1-step).Draw(t, "index"))
+	return mill.StepID{Job: o.job(t), Step: step}.Task(rapid.IntRange(0, 1-step).Draw(t, "index"))
 }
 
-func (o *oracle) record(id mill.TaskID) *taskRecord {
+func (o *model) record(id mill.TaskID) *taskRecord {
 	if o.tasks[id] == nil {
 		o.tasks[id] = &taskRecord{}
 	}
@@ -158,16 +168,29 @@
 	return o.tasks[id]
 }
 
-func (o *oracle) stepDone(job string) bool {
+func (o *model) stepDone(job string) bool {
 	first := mill.StepID{Job: job}
 
 	return o.record(first.Task(0)).done && o.record(first.Task(1)).done
 }
 
-func (o *oracle) place(t *rapid.T) {
+func (o *model) place(t *rapid.T) {
 	id := o.task(t)
+	o.placeRun(t, id, o.record(id).run+rapid.IntRange(0, 2).Draw(t, "ahead"))
+}
+
+// placeGang places all tasks of a first step under one number.
+func (o *model) placeGang(t *rapid.T) {
+	first := mill.StepID{Job: o.job(t)}
+	run := 1 + max(o.record(first.Task(0)).run, o.record(first.Task(1)).run)
+
+	for index := range 2 {
+		o.placeRun(t, first.Task(index), run)
+	}
+}
+
+func (o *model) placeRun(t *rapid.T, id mill.TaskID, run int) {
 	record := o.record(id)
-	run := record.run + rapid.IntRange(0, 2).Draw(t, "ahead")
 	result := o.state.Apply(&Command{Place: &Place{Task: id, Run: run, Worker: "w"}})
 
 	_, exists := o.jobs[id.Job]
@@ -185,13 +208,30 @@
 	record.run, record.active = run, true
 }
 
-func (o *oracle) finish(t *rapid.T) {
+func (o *model) finish(t *rapid.T) {
 	id := o.task(t)
 	record := o.record(id)
 	run := max(0, record.run-rapid.IntRange(0, 1).Draw(t, "behind"))
 	cause := rapid.SampledFrom([]mill.FinishCause{
 		mill.FinishDone, mill.FinishDone, mill.FinishFailed, mill.FinishStopped, mill.FinishNotStarted, mill.FinishWorkerCrashed,
 	}).Draw(t, "cause")
+	o.finishRun(t, id, run, cause)
+}
+
+// finishGang finishes the runs of all tasks of a first step, of which several may have failed.
+func (o *model) finishGang(t *rapid.T) {
+	first := mill.StepID{Job: o.job(t)}
+
+	for _, index := range rapid.Permutation([]int{0, 1}).Draw(t, "order") {
+		cause := rapid.SampledFrom([]mill.FinishCause{
+			mill.FinishFailed, mill.FinishFailed, mill.FinishStopped, mill.FinishGangMemberLost, mill.FinishLeaseExpired,
+		}).Draw(t, "cause")
+		o.finishRun(t, first.Task(index), o.record(first.Task(index)).run, cause)
+	}
+}
+
+func (o *model) finishRun(t *rapid.T, id mill.TaskID, run int, cause mill.FinishCause) {
+	record := o.record(id)
 	finish := &Finish{Task: id, Run: run, Cause: cause, Cleared: rapid.IntRange(0, 3).Draw(t, "cleared") == 0}
 	suspects := 0
 
@@ -217,8 +257,7 @@
 	case mill.FinishDone:
 		o.done(id, run)
 	case mill.FinishFailed:
-		record.failures++
-		o.failed(id)
+		o.failed(mill.RunRef{Task: id, Run: run})
 	default:
 	}
 
@@ -226,7 +265,7 @@
 }
 
 // crashed records the outcome of a run for what its task is suspected of.
-func (o *oracle) crashed(id mill.TaskID, cleared bool, suspects int) {
+func (o *model) crashed(id mill.TaskID, cleared bool, suspects int) {
 	record := o.record(id)
 
 	switch {
@@ -244,7 +283,7 @@
 	}
 }
 
-func (o *oracle) done(id mill.TaskID, run int) {
+func (o *model) done(id mill.TaskID, run int) {
 	o.record(id).done = true
 
 	if o.jobs[id.Job].Steps[id.Step].Gang {
@@ -262,18 +301,16 @@
 	}
 }
 
-func (o *oracle) failed(id mill.TaskID) {
-	failures := o.record(id).failures
-	if o.jobs[id.Job].Steps[id.Step].Gang {
-		failures = o.record(id.Task(0)).failures + o.record(id.Task(1)).failures
-	}
+func (o *model) failed(run mill.RunRef) {
+	gang := o.jobs[run.Task.Job].Steps[run.Task.Step].Gang
+	o.attempts.RecordFailed(run, gang)
 
-	if o.outcome[id.Job] == "" && failures >= 2 {
-		o.outcome[id.Job] = mill.JobFailed
+	if o.outcome[run.Task.Job] == "" && o.attempts.Failed(run.Task, gang) >= maxAttempts {
+		o.outcome[run.Task.Job] = mill.JobFailed
 	}
 }
 
-func (o *oracle) reload(t *rapid.T) {
+func (o *model) reload(t *rapid.T) {
 	data, err := o.state.Save()
 	assert.NilError(t, err)
 
@@ -283,8 +320,8 @@
 	o.state = next
 }
 
-// check compares the jobs as callers see them with the oracle.
-func (o *oracle) check(t *rapid.T) {
+// check compares the jobs as callers see them with the model.
+func (o *model) check(t *rapid.T) {
 	for id := range o.jobs {
 		job, ok := o.state.Job(id)
 		assert.Assert(t, ok, "job %s is missing", id)
