Take the failed attempts of the simulation from what its executors end

An end counts for sure if a leader that has read it commits it, or if last_seen acknowledges it before the executor's lease has expired (RULES.md, "taken note of").

The checks are as strict or stricter: a start after max_attempts such attempts fails the test, now also if the ends are noted only after the start, and for a gang after max_attempts failed runs of it. A failed job is checked when it gets its outcome instead of at the end of the test, so later ends and crashes excuse nothing; the excuse, two crashes under one task, stays. New: once max_attempts attempts are noted, the job must have an outcome. TestFailingWorkerIsTriedNowAndThen counts the tasks that executors have ended as failed, which are at least those committed.

--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -82,9 +82,11 @@
 	hangs         bool
 	fence         uint64
 	leaseEndMilli int64
-	running       map[mill.TaskID]*execution
-	finished      []mill.FinishedRun
-	finishNumber  uint64
+	// leaseExpiredAt is the last time at which the executor had no lease.
+	leaseExpiredAt time.Time
+	running        map[mill.TaskID]*execution
+	finished       []mill.FinishedRun
+	finishNumber   uint64
 	// lastFinishedRun holds the highest run of a task that has finished or was stopped before it started;
 	// orders to start this run or an earlier one are refused.
 	lastFinishedRun map[mill.TaskID]int
@@ -262,7 +264,7 @@
 	job := e.sim.specs[order.Task.Job]
 	step := &job.work.Steps[order.Task.Step]
 
-	e.sim.checkStart(e, order, step, late)
+	e.sim.checkStart(e, order, late)
 
 	a := &execution{
 		ref:       mill.RunRef{Task: order.Task, Run: order.Run},
@@ -351,7 +353,7 @@
 	}
 
 	for len(e.finished) > 0 && e.finished[0].Number <= order.Acknowledged {
-		e.sim.checkAcknowledged(&e.finished[0])
+		e.sim.checkAcknowledged(e, &e.finished[0])
 		e.finished = e.finished[1:]
 	}
 
@@ -408,6 +410,10 @@
 	e.lastFinishedRun[a.ref.Task] = max(e.lastFinishedRun[a.ref.Task], a.ref.Run)
 	e.finished = append(e.finished, mill.FinishedRun{RunRef: a.ref, Number: e.finishNumber, Cause: cause})
 	e.sim.checkFinish(e, a, cause)
+
+	if cause == mill.FinishFailed {
+		e.sim.attempts.recordFailed(a.ref)
+	}
 }
 
 // executions returns the runs in a fixed order, so that a seed replays.
@@ -423,6 +429,10 @@
 		return
 	}
 
+	if e.clock() > e.leaseEndMilli {
+		e.leaseExpiredAt = e.sim.now
+	}
+
 	for _, a := range e.executions() {
 		if e.running[a.ref.Task] != a {
 			continue // It has finished with its gang.
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -20,7 +20,7 @@
 // checkStart checks a run that an executor starts: the task must not be active elsewhere,
 // completed, canceled or out of attempts, it must have its job's spec, and the steps before it must
 // be complete.
-func (sim *simulation) checkStart(e *executor, order *mill.StartOrder, step *mill.Step, late bool) {
+func (sim *simulation) checkStart(e *executor, order *mill.StartOrder, late bool) {
 	for _, other := range sim.executors {
 		if !other.up {
 			continue
@@ -46,10 +46,7 @@
 		sim.t.Fatalf("%s: task %s starts on %s though its job was canceled", sim.elapsed(), order.Task, e.id)
 	}
 
-	if !step.LongRunning && sim.failures[order.Task] >= sim.queue(order.Task.Job).MaxAttempts {
-		sim.t.Fatalf("%s: task %s starts after %d failures", sim.elapsed(), order.Task, sim.failures[order.Task])
-	}
-
+	sim.attempts.checkStart(mill.RunRef{Task: order.Task, Run: order.Run})
 	sim.checkCrashes(order.Task)
 	sim.checkEarlierSteps(order, job)
 }
@@ -73,34 +70,6 @@
 	}
 }
 
-// checkFailed checks that a failed job has a task that has used up its attempts, or under which two executors have
-// crashed.
-func (sim *simulation) checkFailed(id string, spec *jobSpec) {
-	for index := range spec.work.Steps {
-		step := &spec.work.Steps[index]
-		failures := 0
-
-		for at := range step.Count {
-			task := mill.StepID{Job: id, Step: index}.Task(at)
-			if sim.losses[task] > 1 {
-				return
-			}
-
-			if !step.Gang {
-				failures = 0
-			}
-
-			failures += sim.failures[task]
-
-			if failures >= sim.queue(id).MaxAttempts {
-				return
-			}
-		}
-	}
-
-	sim.t.Fatalf("%s: job %s has failed without cause", sim.elapsed(), id)
-}
-
 // checkEarlierSteps checks that the steps before a task's step are completed.
 func (sim *simulation) checkEarlierSteps(order *mill.StartOrder, job *jobSpec) {
 	for _, before := range job.work.Steps[order.Task.Step].After {
@@ -200,7 +169,7 @@
 }
 
 // checkAcknowledged checks that a finished run that is acknowledged to a worker has been committed.
-func (sim *simulation) checkAcknowledged(row *mill.FinishedRun) {
+func (sim *simulation) checkAcknowledged(e *executor, row *mill.FinishedRun) {
 	job, ok := sim.state.Job(row.Task.Job)
 	if !ok {
 		sim.t.Fatalf("%s: a finished run of the unknown job %s is acknowledged", sim.elapsed(), row.Task.Job)
@@ -210,6 +179,8 @@
 	if task != nil && task.Phase == 1 && task.Run == row.Run && row.Cause != mill.FinishDone {
 		sim.t.Fatalf("%s: finished %s run %d is acknowledged but not committed", sim.elapsed(), row.Task, row.Run)
 	}
+
+	sim.attempts.recordAcknowledged(e, row.RunRef)
 }
 
 func (sim *simulation) taskFails(task mill.TaskID) bool {
@@ -298,10 +269,6 @@
 		sim.t.Fatalf("the job %s is lost", id)
 	}
 
-	if job.Outcome == mill.JobFailed {
-		sim.checkFailed(id, spec)
-	}
-
 	if job.Finished() {
 		if job.Placed > 0 {
 			sim.t.Fatalf("%s: job %s is %s but has %d runs: %+v\n%s", sim.elapsed(), id, job.Outcome, job.Placed,
--- a/internal/lead/quarantine_test.go
+++ b/internal/lead/quarantine_test.go
@@ -44,8 +44,8 @@
 
 	sim.run(2 * time.Second)
 
-	before := len(sim.failures)
+	before := sim.attempts.failedTasks()
 
 	sim.run(20 * time.Second)
-	assert.Assert(t, len(sim.failures)-before <= 10, "%d tasks failed", len(sim.failures)-before)
+	assert.Assert(t, sim.attempts.failedTasks()-before <= 10, "%d tasks failed", sim.attempts.failedTasks()-before)
 }
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -56,6 +56,8 @@
 	at       time.Time
 	by       *leader
 	commands []jobs.Command
+	// readFailed holds the runs whose ends as failed the leader had read when it proposed the commands.
+	readFailed map[mill.RunRef]bool
 }
 
 // faults is the probability of each fault of an order, in percent.
@@ -84,7 +86,7 @@
 	faults    faults
 	// completedTasks holds the tasks whose completion is committed.
 	completedTasks map[mill.TaskID]bool
-	failures       map[mill.TaskID]int
+	attempts       attemptCheck
 	// crashingTasks crash each executor that starts them; crashes counts that, and startsAfterCrashes the starts after
 	// the third time. losses counts for every task the crashes of executors that ran it.
 	crashingTasks      map[mill.TaskID]bool
@@ -130,7 +132,6 @@
 		state:               jobs.NewState(),
 		specs:               make(map[string]*jobSpec),
 		completedTasks:      make(map[mill.TaskID]bool),
-		failures:            make(map[mill.TaskID]int),
 		crashingTasks:       make(map[mill.TaskID]bool),
 		crashes:             make(map[mill.TaskID]int),
 		startsAfterCrashes:  make(map[mill.TaskID]int),
@@ -141,6 +142,7 @@
 		advisorAddresses:    []string{"here", "there"},
 		decideTime:          simDecideTime,
 	}
+	sim.attempts = newAttemptCheck(sim)
 	sim.standstill = standstillCheck{sim: sim, lastRan: make(map[mill.TaskID]time.Time), asking: make(map[string]bool)}
 
 	sim.state.Apply(&jobs.Command{Setup: simSetup()})
@@ -233,8 +235,8 @@
 		keep = sim.pick("entries that survive", keep+1)
 	}
 
-	for _, p := range sim.proposals[:keep] {
-		sim.apply(p.commands)
+	for i := range sim.proposals[:keep] {
+		sim.apply(&sim.proposals[i])
 	}
 
 	sim.proposals = nil
@@ -339,11 +341,12 @@
 	for len(sim.proposals) > 0 && !sim.proposals[0].at.After(sim.now) {
 		p := sim.proposals[0]
 		sim.proposals = sim.proposals[1:]
-		p.by.scheduler.Committed(p.commands, sim.apply(p.commands), nil, sim.now)
+		p.by.scheduler.Committed(p.commands, sim.apply(&p), nil, sim.now)
 	}
 }
 
-func (sim *simulation) apply(commands []jobs.Command) []jobs.Result {
+func (sim *simulation) apply(p *proposal) []jobs.Result {
+	commands := p.commands
 	results := make([]jobs.Result, 0, len(commands))
 
 	for i := range commands {
@@ -360,8 +363,9 @@
 			sim.markCompleted(finish.Task)
 		}
 
-		if finish := commands[i].Finish; finish != nil && result == jobs.ResultApplied && finish.Cause == mill.FinishFailed {
-			sim.failures[finish.Task]++
+		if finish := commands[i].Finish; finish != nil && result == jobs.ResultApplied {
+			run := mill.RunRef{Task: finish.Task, Run: finish.Run}
+			sim.attempts.recordCommitted(run, p.readFailed[run])
 		}
 	}
 
@@ -400,7 +404,10 @@
 	}
 
 	if len(actions.Commands) > 0 {
-		sim.proposals = append(sim.proposals, proposal{at: sim.now.Add(20 * time.Millisecond), by: l, commands: actions.Commands})
+		sim.proposals = append(sim.proposals, proposal{
+			at: sim.now.Add(20 * time.Millisecond), by: l, commands: actions.Commands,
+			readFailed: sim.attempts.readBy(l, actions.Commands),
+		})
 	}
 
 	for i := range actions.Starts {
--- a/internal/lead/transport_test.go
+++ b/internal/lead/transport_test.go
@@ -125,6 +125,7 @@
 			reply = mill.RenewReply{OrderReply: mill.OrderReply{Outcome: outcome}}
 		}
 
+		sim.attempts.recordRead(l, reply.Finished)
 		l.scheduler.RenewAnswered(renew, &reply, sentAt, sim.now)
 	})
 }
