Have members of simulated gangs fail together

With gangsFailTogether, some or all members that can fail do so, at one moment or up to a second apart, on one executor or several. The others end as broken, are stopped, or lose their executor or their lease. The leader may change between the ends, and lists of runs may be lost, late or repeated. failingRuns has the first runs of a job fail, so that it has attempts left. recoverAndCheck looks at all occurrences of a repeated job.

--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -33,7 +33,9 @@
 	startedAt time.Time
 	stopsAt   time.Time
 	fails     bool
-	percent   float64
+	// end is how the run ends as a member of a failing gang; nil before the gang has failed.
+	end     *memberEnd
+	percent float64
 	// slowedPercent is by how much the run is throttled.
 	slowedPercent int
 	// late says that the start order was carried out seconds after it was sent.
@@ -271,7 +273,7 @@
 		step:      step,
 		duration:  job.duration,
 		startedAt: e.sim.now,
-		fails:     e.fails || e.sim.taskFails(order.Task),
+		fails:     e.fails || e.sim.runFails(mill.RunRef{Task: order.Task, Run: order.Run}),
 		late:      late,
 	}
 	e.running[order.Task] = a
@@ -443,6 +445,10 @@
 			e.finish(a, mill.FinishLeaseExpired)
 		case !a.stopsAt.IsZero() && !e.sim.now.Before(a.stopsAt):
 			e.finish(a, mill.FinishStopped)
+		case a.end != nil:
+			if !e.sim.now.Before(a.end.at) {
+				e.finish(a, a.end.cause)
+			}
 		case a.step.Gang && !e.sim.gangComplete(a):
 			e.abortIncompleteGang(a)
 		case !e.hangs:
@@ -466,7 +472,11 @@
 	a.percent = float64(100*a.done) / float64(a.duration)
 
 	if a.fails && a.done*3 > a.duration {
-		e.finish(a, mill.FinishFailed)
+		if a.step.Gang && e.sim.gangsFailTogether {
+			e.sim.failGang(a)
+		} else {
+			e.finish(a, mill.FinishFailed)
+		}
 
 		return
 	}
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -183,10 +183,6 @@
 	sim.attempts.recordAcknowledged(e, row.RunRef)
 }
 
-func (sim *simulation) taskFails(task mill.TaskID) bool {
-	return sim.failingJobs[task.Job]
-}
-
 // gangComplete reports whether all members of a gang's run are active.
 func (sim *simulation) gangComplete(a *execution) bool {
 	return len(sim.gangMembers(a)) == a.step.Count
@@ -272,7 +268,7 @@
 	if job.Finished() {
 		if job.Placed > 0 {
 			sim.t.Fatalf("%s: job %s is %s but has %d runs: %+v\n%s", sim.elapsed(), id, job.Outcome, job.Placed,
-				job.Occurrences[0].Steps, sim.explain(id))
+				job.Occurrences, sim.explain(id))
 		}
 
 		return
@@ -280,8 +276,10 @@
 
 	for index := range spec.work.Steps {
 		if !spec.work.Steps[index].LongRunning {
-			if !job.Occurrences[0].Steps[index].Complete() {
-				sim.t.Fatalf("%s: job %s is not finished: %+v\n%s", sim.elapsed(), id, job.Occurrences[0].Steps, sim.explain(id))
+			for number := range spec.work.Occurrences() {
+				if occurrence := job.Occurrences[number]; occurrence == nil || !occurrence.Steps[index].Complete() {
+					sim.t.Fatalf("%s: job %s is not finished: %+v\n%s", sim.elapsed(), id, occurrence, sim.explain(id))
+				}
 			}
 
 			continue
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -69,6 +69,8 @@
 	// lostReport and lateReport are those of a worker's report.
 	lostReport int
 	lateReport int
+	// repeatedList is the probability that a list of runs arrives once more, later.
+	repeatedList int
 }
 
 // simulation is a pool of executors with a replicated log and its leader, in simulated time. It
@@ -98,8 +100,12 @@
 	crashDelay        time.Duration
 	crashesUnanswered bool
 	staysAway         bool
-	// failingJobs holds the jobs whose tasks always fail.
+	// failingJobs holds the jobs whose tasks always fail, and failingRuns those whose tasks fail in runs up to a number.
 	failingJobs map[string]bool
+	failingRuns map[string]int
+	// gangsFailTogether has several members of a gang fail in one run. Otherwise, one does, and the others end at once.
+	gangsFailTogether bool
+	gangFaults        gangFaults
 	// faultless says that the test injects no faults.
 	faultless bool
 	// disturbedAt is when the leader or an order was last disturbed; see checkCanceled.
@@ -137,6 +143,7 @@
 		startsAfterCrashes:  make(map[mill.TaskID]int),
 		losses:              make(map[mill.TaskID]int),
 		failingJobs:         make(map[string]bool),
+		failingRuns:         make(map[string]int),
 		adviceRequestsByJob: make(map[string]int),
 		faultless:           true,
 		advisorAddresses:    []string{"here", "there"},
@@ -272,6 +279,11 @@
 		return rapid.IntRange(0, limit-1).Draw(sim.draws, name)
 	}
 
+	return sim.choose(name, limit)
+}
+
+// choose derives a number below a limit from a hash. It takes no draw from the test's seed.
+func (sim *simulation) choose(name string, limit int) int {
 	sim.choices++
 
 	hash := fnv.New64a()
@@ -282,26 +294,12 @@
 
 // flip decides with even chances. It takes no draw from the test's seed.
 func (sim *simulation) flip(name string) bool {
-	sim.choices++
-
-	hash := fnv.New64a()
-	_, _ = fmt.Fprint(hash, name, sim.choices)
-
-	return hash.Sum64()%2 == 0
+	return sim.choose(name, 2) == 0
 }
 
 // chance reports whether something that happens in a percentage of cases happens now.
 func (sim *simulation) chance(name string, percent int) bool {
-	if percent == 0 {
-		return false
-	}
-
-	sim.choices++
-
-	hash := fnv.New64a()
-	_, _ = fmt.Fprint(hash, name, sim.choices)
-
-	return int(hash.Sum64()%100) < percent
+	return percent > 0 && sim.choose(name, 100) < percent
 }
 
 // run lets time pass.
--- a/internal/lead/transport_test.go
+++ b/internal/lead/transport_test.go
@@ -125,8 +125,27 @@
 			reply = mill.RenewReply{OrderReply: mill.OrderReply{Outcome: outcome}}
 		}
 
-		sim.attempts.recordRead(l, reply.Finished)
-		l.scheduler.RenewAnswered(renew, &reply, sentAt, sim.now)
+		sim.answerRenew(l, renew, &reply, sentAt)
+
+		if sim.chance("repeated list", sim.faults.repeatedList) {
+			sim.repeatList(l, renew, reply, sentAt)
+		}
+	})
+}
+
+func (sim *simulation) answerRenew(l *leader, renew *Renew, reply *mill.RenewReply, sentAt time.Time) {
+	sim.attempts.recordRead(l, reply.Finished)
+	l.scheduler.RenewAnswered(renew, reply, sentAt, sim.now)
+}
+
+// repeatList has an executor's list arrive once more, possibly after newer ones, unless the executor has ended since.
+func (sim *simulation) repeatList(l *leader, renew *Renew, reply mill.RenewReply, sentAt time.Time) {
+	e := sim.findAt(renew.To.Address)
+
+	sim.after(sim.within("repeated list", simDistantEnds), func() {
+		if e.up && e.startedAt.UnixMilli() == reply.StartUnixMilli {
+			sim.answerRenew(l, renew, &reply, sentAt)
+		}
 	})
 }
 
