Show that a new leader forgets the leases of a worker that leaves

Traced: the new leader reads the worker's list, so it no longer waits for the longest lease (mayHoldInherited is cleared), and grants none, because the worker leaves: leaseEndMilli is 0. At the first renewal that fails, it takes all runs there for ended and starts them elsewhere, though the lease of its predecessor has seconds left.

The new test shows it without faults of orders: "1.59s: task job.0.0.0 run 2 starts on x01 while run 1 is on x00".

--- a/internal/lead/leaving_test.go
+++ b/internal/lead/leaving_test.go
@@ -103,3 +103,21 @@
 	assert.DeepEqual(t, sim.runningOn(), []string{e.id})
 	assert.Assert(t, sim.leader.scheduler.workers[e.id].usable(sim.now))
 }
+
+// TestLeaseOfLeavingWorkerOutlastsItsLeader guards against a new leader that takes the leases of an earlier one for expired.
+func TestLeaseOfLeavingWorkerOutlastsItsLeader(t *testing.T) {
+	sim := newSimulation(t, nil, 2)
+	sim.submit("job", "free", longerThanTest, shortStep(1))
+	sim.run(time.Second)
+
+	e := sim.executorOf(firstTask("job"))
+
+	sim.newLeader()
+	e.leaveAfter(simMaxLease)
+	sim.run(100 * time.Millisecond)
+
+	e.mute = true
+
+	sim.run(simMaxLease / 2)
+	assert.Equal(t, sim.executorOf(firstTask("job")), e)
+}
