Count a failed run of a gang as one attempt, by what the leader commits

Cause: each replica decides the outcome when it applies a command, and adds up the failures of all members of a gang. A run in which k members fail used up k attempts.

Fix: replicas of an earlier build apply the same commands, so how they are applied stays, and the leader decides instead (jobs.GangRun, shared by the members of a run): one failed member is committed as failed, the others as broken with MemberFailed, and the ends of the run that uses up the last attempt carry GivesUp, which every build obeys.

--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -47,10 +47,14 @@
 	Cause      mill.FinishCause `cbor:"3,keyasint"`
 	Checkpoint string           `cbor:"4,keyasint,omitempty"`
 	// Suspicion is how strongly the run is suspected of having crashed its worker. Cleared means that the run was seen
-	// at work, so that the earlier suspicion of its task was wrong. GivesUp means that the job fails because of it.
+	// at work, so that the earlier suspicion of its task was wrong. GivesUp means that the job fails with this run.
 	Suspicion int  `cbor:"5,keyasint,omitempty"`
 	Cleared   bool `cbor:"6,keyasint,omitempty"`
 	GivesUp   bool `cbor:"7,keyasint,omitempty"`
+	// MemberFailed means that the run has failed, but does not count as a failed attempt; see GangRun.
+	MemberFailed bool `cbor:"8,keyasint,omitempty"`
+	// Attempts is the number of failed attempts of a gang that the leader counts with this run, if it has failed.
+	Attempts int `cbor:"9,keyasint,omitempty"`
 }
 
 // SettleMachine marks one machine of a wave as settled.
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -28,12 +28,19 @@
 	Worker string `cbor:"3,keyasint,omitempty"`
 	// Checkpoint is the latest known checkpoint; "" for none.
 	Checkpoint string `cbor:"4,keyasint,omitempty"`
-	// Failures is the number of failed runs.
+	// Failures is the number of failed runs that were committed as such; see GangRun.
 	Failures int `cbor:"5,keyasint,omitempty"`
 	// FailedOn lists the workers to avoid because runs of the task failed there.
 	FailedOn []string `cbor:"6,keyasint,omitempty"`
 	// Suspicion is how strongly the task is suspected of crashing the workers that start it.
 	Suspicion int `cbor:"7,keyasint,omitempty"`
+	// UncountedFailures is the number of failed runs that were committed with Finish.MemberFailed.
+	UncountedFailures int `cbor:"8,keyasint,omitempty"`
+}
+
+// HasFailed reports whether a run of the task has failed.
+func (t *Task) HasFailed() bool {
+	return t.Failures+t.UncountedFailures > 0
 }
 
 // finish makes the task pending again if the finished run is its current one, and reports whether it is.
@@ -58,6 +65,10 @@
 	Done int `cbor:"2,keyasint,omitempty"`
 	// Placed is the number of tasks that are placed.
 	Placed int `cbor:"3,keyasint,omitempty"`
+	// FailedRuns holds the numbers of a gang's runs that have failed, and EarlierAttempts is the number of those whose
+	// numbers are not known, since the data are of an earlier build.
+	FailedRuns      []int `cbor:"4,keyasint,omitempty"`
+	EarlierAttempts int   `cbor:"5,keyasint,omitempty"`
 }
 
 // Complete reports whether all tasks of the step are done.
--- a/internal/jobs/outcome.go
+++ b/internal/jobs/outcome.go
@@ -55,7 +55,7 @@
 
 	if decider != nil {
 		outcome.Decider = mill.RunRef{Task: decider.Task, Run: decider.Run}
-		outcome.Attempts = job.failedAttempts(decider.Task)
+		outcome.Attempts = job.Attempts(decider.Task)
 		outcome.Failures = job.failures(decider.Task)
 	}
 
@@ -66,13 +66,22 @@
 func (j *Job) failures(id mill.TaskID) []int {
 	step, task := j.Task(id)
 	if !j.Work.Steps[id.Step].Gang {
-		return []int{task.Failures}
+		return []int{task.Failures + task.UncountedFailures}
 	}
 
 	counts := make([]int, 0, len(step.Tasks))
 	for i := range step.Tasks {
-		counts = append(counts, step.Tasks[i].Failures)
+		counts = append(counts, step.Tasks[i].Failures+step.Tasks[i].UncountedFailures)
 	}
 
 	return counts
 }
+
+// giveUpReason returns why a job fails with a run that the leader has decided to be the last.
+func (f *Finish) giveUpReason() OutcomeReason {
+	if f.Suspicion > 0 {
+		return ReasonCrashes
+	}
+
+	return ReasonAttempts
+}
--- a/internal/jobs/outcome_test.go
+++ b/internal/jobs/outcome_test.go
@@ -19,7 +19,7 @@
 	}
 
 	crashed := finish(1, mill.FinishWorkerCrashed)
-	crashed.Finish.GivesUp = true
+	crashed.Finish.Suspicion, crashed.Finish.GivesUp = 3, true
 
 	for _, test := range []struct {
 		name     string
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -127,6 +127,8 @@
 	for id, job := range next.stored.Jobs {
 		if !job.Finished() || job.Placed > 0 {
 			next.open[id] = job
+
+			job.adoptEarlierFailures()
 		}
 	}
 
@@ -242,8 +244,12 @@
 	case mill.FinishDone:
 		s.taskDone(job, finished, step, task)
 	case mill.FinishFailed:
-		s.taskFailed(job, finished, task)
+		s.taskFailed(job, finished, step, task)
 	default:
+		if finished.MemberFailed {
+			task.UncountedFailures++
+			job.recordFailure(finished, step, task)
+		}
 	}
 
 	s.updateSuspicion(job, finished, task)
@@ -300,11 +306,27 @@
 	}
 }
 
-func (s *State) taskFailed(job *Job, finished *Finish, task *Task) {
+// taskFailed counts a failed run, and fails the job if there are too many. All builds must decide the same here, so a failed
+// run that must not count is committed in another way; see GangRun.
+func (s *State) taskFailed(job *Job, finished *Finish, step *Step, task *Task) {
 	task.Failures++
+	job.recordFailure(finished, step, task)
+
+	if job.Finished() || job.Queue.MaxAttempts <= 0 || job.Work.Steps[finished.Task.Step].LongRunning {
+		return
+	}
+
+	if job.countedFailures(finished.Task) >= job.Queue.MaxAttempts {
+		s.finishJob(job, mill.JobFailed, ReasonAttempts, finished)
+	}
+}
+
+// recordFailure records which worker a failed run was on, and which run of a gang has failed.
+func (j *Job) recordFailure(finished *Finish, step *Step, task *Task) {
+	spec := &j.Work.Steps[finished.Task.Step]
 
 	// A long-running task may fail at any time, so only the worker of its latest failure is avoided.
-	if job.Work.Steps[finished.Task.Step].LongRunning {
+	if spec.LongRunning {
 		task.FailedOn = []string{task.Worker}
 
 		return
@@ -314,12 +336,9 @@
 		task.FailedOn = append(task.FailedOn, task.Worker)
 	}
 
-	if job.Finished() || job.Queue.MaxAttempts <= 0 {
-		return
-	}
-
-	if job.failedAttempts(finished.Task) >= job.Queue.MaxAttempts {
-		s.finishJob(job, mill.JobFailed, ReasonAttempts, finished)
+	if spec.Gang && j.Queue.MaxAttempts > 0 {
+		step.recordFailedRun(finished.Run)
+		step.recordAttempts(finished.Attempts)
 	}
 }
 
@@ -333,12 +352,12 @@
 	task.Suspicion += finished.Suspicion
 
 	if !job.Finished() && finished.GivesUp {
-		s.finishJob(job, mill.JobFailed, ReasonCrashes, finished)
+		s.finishJob(job, mill.JobFailed, finished.giveUpReason(), finished)
 	}
 }
 
-// failedAttempts returns the number of failed runs of a task, or of all members of its gang.
-func (j *Job) failedAttempts(id mill.TaskID) int {
+// countedFailures returns the number of failed runs that were committed as such, of a task or of all members of its gang.
+func (j *Job) countedFailures(id mill.TaskID) int {
 	step, task := j.Task(id)
 	if !j.Work.Steps[id.Step].Gang {
 		return task.Failures
--- a/internal/jobs/state_test.go
+++ b/internal/jobs/state_test.go
@@ -241,6 +241,10 @@
 		finish.GivesUp = plan.GivesUp(record.suspicion() + finish.Suspicion)
 	}
 
+	if job, ok := o.state.Job(id.Job); ok && record.active && job.Work.Steps[id.Step].Gang {
+		NewGangRun(job, id.StepID, run).Amend(finish)
+	}
+
 	result := o.state.Apply(&Command{Finish: finish})
 
 	if !record.active || run != record.run {
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -68,7 +68,7 @@
 
 	placed := c.waiting[:len(chosen)]
 	c.waiting = c.waiting[len(chosen):]
-	number := s.nextGangRun(c)
+	gang := nextGangRun(c)
 	commands := make([]jobs.Command, 0, len(chosen))
 
 	if len(chosen) > 0 {
@@ -80,7 +80,7 @@
 	}
 
 	for index, at := range chosen {
-		r := s.newRun(c, placed[index], workers[at], number, p.now)
+		r := s.newRun(c, placed[index], workers[at], gang, p.now)
 		p.pool(c).allocate(c.step.Reserves())
 
 		commands = append(commands, jobs.Command{Place: &jobs.Place{
@@ -197,11 +197,10 @@
 	return count
 }
 
-// nextGangRun returns the number that all members of a gang use for their next run, or 0 for a step
-// whose tasks are numbered independently.
-func (s *Scheduler) nextGangRun(c *candidate) int {
+// nextGangRun returns the next run of a gang, or nil for a step whose tasks run independently.
+func nextGangRun(c *candidate) *jobs.GangRun {
 	if !c.step.Gang {
-		return 0
+		return nil
 	}
 
 	number := 0
@@ -209,14 +208,16 @@
 		number = max(number, c.state.Tasks[i].Run)
 	}
 
-	return number + 1
+	return jobs.NewGangRun(c.job, c.id, number+1)
 }
 
-// newRun adds the run for the placement of a task; the number 0 selects the task's next one.
-func (s *Scheduler) newRun(c *candidate, index int, w *worker, number int, now time.Time) *run {
+// newRun adds the run for the placement of a task, which is part of a gang's run unless that is nil.
+func (s *Scheduler) newRun(c *candidate, index int, w *worker, gang *jobs.GangRun, now time.Time) *run {
 	task := &c.state.Tasks[index]
-	if number == 0 {
-		number = task.Run + 1
+	number := task.Run + 1
+
+	if gang != nil {
+		number = gang.Number()
 	}
 
 	r := &run{
@@ -232,8 +233,9 @@
 		checkpoint: task.Checkpoint,
 		resumeFrom: task.Checkpoint,
 
-		failedBefore: task.Failures > 0,
+		failedBefore: task.HasFailed(),
 		isolating:    c.isolated,
+		gang:         gang,
 
 		earlierSuspicion: task.Suspicion,
 	}
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -80,6 +81,8 @@
 	paceSentAt    time.Time
 	// failedBefore says that an earlier run of the task has failed.
 	failedBefore bool
+	// gang is shared by the members of a gang's run; nil for other tasks.
+	gang *jobs.GangRun
 }
 
 // mayHaveCrashedWorker reports whether the run has started and may be why its worker has crashed.
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -88,6 +88,25 @@
 	cause mill.FinishCause
 }
 
+// command returns what records the finished run.
+func (f *finishedRun) command() *jobs.Finish {
+	finished := &jobs.Finish{
+		Task:       f.run.task,
+		Run:        f.run.number,
+		Cause:      f.cause,
+		Checkpoint: f.run.checkpoint,
+		Suspicion:  f.run.suspicion,
+		Cleared:    f.run.earlierSuspicion > 0 && f.run.proven,
+		GivesUp:    f.run.givesUp(),
+	}
+
+	if f.run.gang != nil {
+		f.run.gang.Amend(finished)
+	}
+
+	return finished
+}
+
 // orphan is a run on a worker that the state does not know. It is stopped.
 type orphan struct {
 	worker   *worker
@@ -139,18 +158,29 @@
 	for number, occurrence := range job.Occurrences {
 		for index := range occurrence.Steps {
 			id := mill.StepID{Job: job.ID, Occurrence: number, Step: index}
-			for at := range occurrence.Steps[index].Tasks {
-				s.inheritTask(job, id.Task(at), &occurrence.Steps[index].Tasks[at])
-			}
+			s.inheritStep(job, id, &occurrence.Steps[index])
 		}
 	}
 }
 
-func (s *Scheduler) inheritTask(job *jobs.Job, id mill.TaskID, task *jobs.Task) {
-	if task.Phase != jobs.TaskPlaced {
-		return
+func (s *Scheduler) inheritStep(job *jobs.Job, id mill.StepID, step *jobs.Step) {
+	var gang *jobs.GangRun
+
+	for index := range step.Tasks {
+		task := &step.Tasks[index]
+		if task.Phase != jobs.TaskPlaced {
+			continue
+		}
+
+		if job.Work.Steps[id.Step].Gang && (gang == nil || gang.Number() != task.Run) {
+			gang = jobs.NewGangRun(job, id, task.Run)
+		}
+
+		s.inheritTask(job, id.Task(index), task, gang)
 	}
+}
 
+func (s *Scheduler) inheritTask(job *jobs.Job, id mill.TaskID, task *jobs.Task, gang *jobs.GangRun) {
 	step := &job.Work.Steps[id.Step]
 	r := &run{
 		task:       id,
@@ -161,6 +191,7 @@
 		reserves:   step.Reserves(),
 		phase:      runInherited,
 		checkpoint: task.Checkpoint,
+		gang:       gang,
 
 		earlierSuspicion: task.Suspicion,
 	}
@@ -428,15 +459,7 @@
 		s.updateHealth(f, now)
 		s.addEvent(EventFinish, f.run, string(f.cause))
 
-		commands = append(commands, jobs.Command{Finish: &jobs.Finish{
-			Task:       f.run.task,
-			Run:        f.run.number,
-			Cause:      f.cause,
-			Checkpoint: f.run.checkpoint,
-			Suspicion:  f.run.suspicion,
-			Cleared:    f.run.earlierSuspicion > 0 && f.run.proven,
-			GivesUp:    f.run.givesUp(),
-		}})
+		commands = append(commands, jobs.Command{Finish: f.command()})
 	}
 
 	s.finished = nil
