Have gangs fail together in all simulations

Only the tests of failing gangs had members of a gang fail together. Now all simulations do, and some of their jobs fail in their first two runs and have attempts left.

--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -472,7 +472,7 @@
 	a.percent = float64(100*a.done) / float64(a.duration)
 
 	if a.fails && a.done*3 > a.duration {
-		if a.step.Gang && e.sim.gangsFailTogether {
+		if a.step.Gang {
 			e.sim.failGang(a)
 		} else {
 			e.finish(a, mill.FinishFailed)
--- a/internal/lead/failed_gang_fuzz_test.go
+++ b/internal/lead/failed_gang_fuzz_test.go
@@ -19,7 +19,6 @@
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t, t, 6)
 		sim.faultless = false
-		sim.gangsFailTogether = true
 
 		draw := &gangDrawer{actionDrawer: actionDrawer{sim: sim}}
 		draw.gangFaults(t)
--- a/internal/lead/failed_gang_test.go
+++ b/internal/lead/failed_gang_test.go
@@ -137,7 +137,6 @@
 	second := gangStep(2, simCapacity/2)
 	second.After = []int{0}
 
-	sim.gangsFailTogether = true
 	sim.failingRuns[gangJob] = 3
 	sim.submitWork(gangJob, "free", duration, mill.Workload{
 		Spec:   gangJob,
--- a/internal/lead/fuzz_test.go
+++ b/internal/lead/fuzz_test.go
@@ -71,7 +71,14 @@
 		steps[i] = d.step(t, i, len(steps) == 1)
 	}
 
-	d.sim.failingJobs[id] = rapid.IntRange(0, 7).Draw(t, "poison") == 0
+	switch rapid.IntRange(0, 7).Draw(t, "poison") {
+	case 0:
+		d.sim.failingJobs[id] = true
+	case 1:
+		d.sim.failingRuns[id] = 2
+	default:
+	}
+
 	d.sim.submit(id, queue, duration, steps...)
 }
 
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -103,9 +103,7 @@
 	// failingJobs holds the jobs whose tasks always fail, and failingRuns those whose tasks fail in runs up to a number.
 	failingJobs map[string]bool
 	failingRuns map[string]int
-	// gangsFailTogether has several members of a gang fail in one run. Otherwise, one does, and the others end at once.
-	gangsFailTogether bool
-	gangFaults        gangFaults
+	gangFaults  gangFaults
 	// faultless says that the test injects no faults.
 	faultless bool
 	// disturbedAt is when the leader or an order was last disturbed; see checkCanceled.
