Disturb the processes in overlapping series while gangs fail together

TestSoakGangsUnderFaults, played by hand with `make soak`: for a minute, the leader and other processes are killed, paused for up to 5 s and restarted, and workers are cut off until their leases lapse, one fault after another within 2.5 s, some of them at the same time. A breach that is seen again is listed once.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -20,8 +20,8 @@
 	./scripts/fuzz.sh $(FUZZTIME)
 
 .PHONY: soak
-soak: ## Kill the leader of real processes under load and look for jobs that stand still, with SEEDS fresh seeds.
-	MILL_SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 3h -v -run TestSoakStandstill ./platform/soak
+soak: ## Disturb real processes under load, look for jobs that stand still or are shown wrongly, with SEEDS fresh seeds.
+	MILL_SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 3h -v -run 'TestSoakStandstill|TestSoakGangsUnderFaults' ./platform/soak
 
 .PHONY: lint
 lint: $(BUILD)/golangci-lint $(BUILD)/gofumpt ## Check the formatting and run the linter.
