--- a/GNUmakefile
+++ b/GNUmakefile
@@ -23,6 +23,10 @@
 soak: ## Disturb real processes under load, look for jobs that stand still or are shown wrongly, with SEEDS fresh seeds.
 	MILL_SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 3h -v -run 'TestSoakStandstill|TestSoakGangsUnderFaults' ./platform/soak
 
+.PHONY: upgrades
+upgrades: ## Play processes of an earlier build beside those of this one and before them, with SEEDS fresh seeds; OLD is its program.
+	MILL_SOAK_OLD=$(OLD) MILL_SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 3h -v -run 'TestSoakTwoBuilds|TestSoakUpgrade' ./platform/soak
+
 .PHONY: lint
 lint: $(BUILD)/golangci-lint $(BUILD)/gofumpt ## Check the formatting and run the linter.
 	test -z "$$($(BUILD)/gofumpt -l . | tee -a /dev/stderr)"
