Record the end of a run once, however often it is proposed

An end whose proposal has failed, or whose checkpoint could not be logged, is proposed again, and each time it was recorded anew: in the queue's failure rate, the run time estimates, the log (`run ended`) and runs_ended. Now it is recorded with the first proposal only. The commands are the same.

--- a/internal/lead/committed.go
+++ b/internal/lead/committed.go
@@ -81,7 +81,7 @@
 	}
 
 	if !committed {
-		s.finished = append(s.finished, finishedRun{run: r, cause: finish.Cause})
+		s.finished = append(s.finished, finishedRun{run: r, cause: r.cause, recorded: true})
 
 		return
 	}
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -86,6 +86,8 @@
 type finishedRun struct {
 	run   *run
 	cause mill.FinishCause
+	// recorded says that the run was proposed as finished before, and is recorded as evidence and for the log.
+	recorded bool
 }
 
 // orphan is a run on a worker that the state does not know. It is stopped.
@@ -425,8 +427,10 @@
 	commands := make([]jobs.Command, 0, len(s.finished))
 
 	for _, f := range s.finished {
-		s.updateHealth(f, now)
-		s.addEvent(EventFinish, f.run, string(f.cause))
+		if !f.recorded {
+			s.updateHealth(f, now)
+			s.addEvent(EventFinish, f.run, string(f.cause))
+		}
 
 		commands = append(commands, jobs.Command{Finish: &jobs.Finish{
 			Task:       f.run.task,
--- /dev/null
+++ b/internal/lead/scripted_test.go
@@ -0,0 +1,203 @@
+package lead
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/place"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// errNotCommitted is what a proposal is answered that was not made.
+var errNotCommitted = errors.New("not committed")
+
+// scriptedWorker carries out its start orders at once. Its runs progress and end as the test says.
+type scriptedWorker struct {
+	status   mill.WorkerStatus
+	running  map[mill.TaskID]mill.RunStatus
+	finished []mill.FinishedRun
+}
+
+// scriptedTest is a scheduler with scripted workers, whose commands are committed at once.
+type scriptedTest struct {
+	t         *testing.T
+	now       time.Time
+	state     *jobs.State
+	scheduler *Scheduler
+	workers   map[string]*scriptedWorker
+	// commitErrors is how many of the next proposals with the end of a run fail.
+	commitErrors int
+	events       []Event
+}
+
+func newScriptedTest(t *testing.T, workers ...string) *scriptedTest {
+	t.Helper()
+
+	state := jobs.NewState()
+	state.Apply(&jobs.Command{Setup: simSetup()})
+
+	s := &scriptedTest{
+		t: t, now: simStart, state: state, workers: make(map[string]*scriptedWorker),
+		scheduler: New(Bounds{MaxLease: simMaxLease, GangTimeout: simGangTimeout}, 1, simStart, state, place.Pack{}),
+	}
+
+	for _, id := range workers {
+		s.workers[id] = &scriptedWorker{
+			status: mill.WorkerStatus{
+				ID: id, StartUnixMilli: 1, Service: "pool", Address: id, Rack: "r",
+				Capacity: mill.Resources{MilliCores: simCapacity, MemoryMiB: simCapacity},
+			},
+			running: make(map[mill.TaskID]mill.RunStatus),
+		}
+	}
+
+	s.plan()
+
+	return s
+}
+
+// plan has all workers report, plans once, commits what is to be committed, and carries out the start orders.
+func (s *scriptedTest) plan() {
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		w := s.workers[id]
+		w.status.Sequence++
+		w.status.ClockMilli = s.clockMilli()
+		status := w.status
+		s.scheduler.Report(&status, s.now)
+	}
+
+	actions := s.scheduler.Next(s.now, s.now.UnixMilli(), s.state)
+	s.commit(actions.Commands)
+
+	orders := s.scheduler.Dispatch(s.now)
+	s.commit(orders.Commands)
+
+	for _, start := range append(actions.Starts, orders.Starts...) {
+		s.start(&start)
+	}
+
+	s.events = append(s.events, s.scheduler.TakeEvents()...)
+}
+
+func (s *scriptedTest) commit(commands []jobs.Command) {
+	ends := slices.ContainsFunc(commands, func(c jobs.Command) bool { return c.Finish != nil })
+	if ends && s.commitErrors > 0 {
+		s.commitErrors--
+		s.scheduler.Committed(commands, nil, errNotCommitted, s.now)
+
+		return
+	}
+
+	results := make([]jobs.Result, 0, len(commands))
+	for i := range commands {
+		results = append(results, s.state.Apply(&commands[i]))
+	}
+
+	s.scheduler.Committed(commands, results, nil, s.now)
+}
+
+func (s *scriptedTest) start(start *Start) {
+	ref := mill.RunRef{Task: start.Order.Task, Run: start.Order.Run}
+	s.workers[start.To.ID].running[ref.Task] = mill.RunStatus{RunRef: ref, Percent: 1}
+	s.scheduler.StartAnswered(start, mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: s.clockMilli()}, s.now)
+}
+
+func (s *scriptedTest) clockMilli() int64 {
+	return 1 + s.now.Sub(simStart).Milliseconds()
+}
+
+// pass lets time pass, in which no worker answers a renewal, and plans.
+func (s *scriptedTest) pass(length time.Duration) {
+	s.now = s.now.Add(length)
+	s.plan()
+}
+
+// submit submits a job with one step, and returns the workers of its tasks.
+func (s *scriptedTest) submit(id string, step mill.Step) []string {
+	s.state.Apply(&jobs.Command{Submit: &jobs.Submit{
+		Job: id, Queue: "free", UnixMilli: s.now.UnixMilli(), Work: mill.Workload{Steps: []mill.Step{step}},
+	}})
+
+	return s.awaitStart(id)
+}
+
+// awaitStart plans until all tasks of a job run, and returns their workers.
+func (s *scriptedTest) awaitStart(id string) []string {
+	for range 500 {
+		s.pass(simStep)
+
+		if found := s.workersOf(id); !slices.Contains(found, "") {
+			return found
+		}
+	}
+
+	s.t.Fatalf("job %s does not start", id)
+
+	return nil
+}
+
+// workersOf returns the workers of a job's tasks, "" for those that do not run.
+func (s *scriptedTest) workersOf(id string) []string {
+	job, _ := s.state.Job(id)
+	found := make([]string, job.Work.Steps[0].Count)
+
+	for worker, w := range s.workers {
+		for task := range w.running {
+			if task.Job == id {
+				found[task.Index] = worker
+			}
+		}
+	}
+
+	return found
+}
+
+// end ends the run of a job's task on its worker, which answers a renewal with that.
+func (s *scriptedTest) end(job string, index int, cause mill.FinishCause) {
+	task := mill.StepID{Job: job}.Task(index)
+	worker := s.workersOf(job)[index]
+	w := s.workers[worker]
+
+	number := uint64(len(w.finished) + 1)
+	w.finished = append(w.finished, mill.FinishedRun{RunRef: w.running[task].RunRef, Number: number, Cause: cause})
+	delete(w.running, task)
+	s.answer(worker)
+}
+
+// endAll ends the runs of all tasks of a job at the same moment, each with a cause.
+func (s *scriptedTest) endAll(job string, causes ...mill.FinishCause) {
+	for index, cause := range causes {
+		s.end(job, index, cause)
+	}
+
+	s.pass(simStep)
+}
+
+// answer has a worker answer a renewal.
+func (s *scriptedTest) answer(worker string) {
+	w := s.workers[worker]
+	reply := &mill.RenewReply{
+		OrderReply:     mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: s.clockMilli()},
+		StartUnixMilli: w.status.StartUnixMilli,
+		Finished:       w.finished,
+		Running:        slices.Collect(maps.Values(w.running)),
+	}
+	s.scheduler.RenewAnswered(&Renew{To: mill.WorkerRef{ID: worker, Address: worker}}, reply, s.now, s.now)
+}
+
+// countEvents returns how many events of a kind there were.
+func (s *scriptedTest) countEvents(kind EventKind) int {
+	count := 0
+
+	for i := range s.events {
+		if s.events[i].Kind == kind {
+			count++
+		}
+	}
+
+	return count
+}
