Record a gang's run once as evidence, in the failure rate and as a run time

A run of a gang succeeds or fails once, but it was recorded once for each member that ended: a job that fails on any worker accused the worker of each failed member at full weight, each success or joint failure was as many samples of the queue's failure rate as there were members, and each run as many run times. Whether a run was fresh evidence was kept by member, so a gang that failed on another member the next time accused that worker too. A bad job thus quarantined several sound workers.

The members of a run now share a gangRun. A failed run is one failure, recorded once all members have ended, or a second after the first failure (plan.GangFailure): the workers of the members that failed share its weight, and one that fails alone bears it in full, as before. The failure rate gets one sample a run, the share of the members that failed. Tasks that are in no gang are recorded as before.

--- a/internal/lead/counted_once_test.go
+++ b/internal/lead/counted_once_test.go
@@ -1,10 +1,13 @@
 package lead
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -37,3 +40,102 @@
 
 	return rates.FailureWeight("free")
 }
+
+// TestFailedGangQuarantinesNoWorkers guards against jobs that fail on any worker, and quarantine those of all members.
+func TestFailedGangQuarantinesNoWorkers(t *testing.T) {
+	for _, apart := range []time.Duration{0, 20 * time.Millisecond, 300 * time.Millisecond} {
+		s := newScriptedTest(t, "a", "b")
+
+		for _, id := range []string{"first", "second", "third"} {
+			s.submit(id, wholeWorkers(2))
+			s.end(id, 0, mill.FinishFailed)
+			s.pass(apart)
+			s.end(id, 1, mill.FinishFailed)
+			s.cancel(id)
+		}
+
+		assert.DeepEqual(t, s.quarantined(), []string(nil))
+	}
+}
+
+// TestGangThatHasFailedBeforeAccusesNoOtherWorker guards against gangs that fail on another member each time, and quarantine
+// the worker of each.
+func TestGangThatHasFailedBeforeAccusesNoOtherWorker(t *testing.T) {
+	s := newScriptedTest(t, "a", "b", "c", "d")
+
+	for _, id := range []string{"first", "second", "third"} {
+		s.submit(id, wholeWorkers(4))
+
+		for _, worker := range []string{"a", "d"} {
+			s.failOn(id, worker)
+		}
+
+		s.cancel(id)
+	}
+
+	assert.DeepEqual(t, s.quarantined(), []string{"a"})
+}
+
+// TestWorkerThatFailsItsGangsIsQuarantined expects a worker that fails the gangs of three jobs to be quarantined, also if
+// the others are silent from then on.
+func TestWorkerThatFailsItsGangsIsQuarantined(t *testing.T) {
+	s := newScriptedTest(t, "a", "b", "c", "d")
+
+	for _, id := range []string{"first", "second"} {
+		s.submit(id, wholeWorkers(4))
+		s.failOn(id, "a")
+		s.cancel(id)
+	}
+
+	assert.DeepEqual(t, s.quarantined(), []string(nil))
+
+	s.end("third", slices.Index(s.submit("third", wholeWorkers(4)), "a"), mill.FinishFailed)
+	s.pass(simStep)
+	s.pass(time.Second)
+	assert.DeepEqual(t, s.quarantined(), []string{"a"})
+}
+
+// TestInheritedGangCountsOnce guards against members that a new leader takes for runs of their own.
+func TestInheritedGangCountsOnce(t *testing.T) {
+	s := newScriptedTest(t, "a", "b")
+	ids := []string{"first", "second", "third"}
+
+	for _, id := range ids {
+		s.submit(id, mill.Step{Count: 2, Gang: true, MaxPerWorker: 1, PerTask: mill.Resources{MilliCores: 500, MemoryMiB: 100}})
+	}
+
+	s.takeOver()
+
+	for _, id := range ids {
+		s.endAll(id, mill.FinishFailed, mill.FinishFailed)
+		s.cancel(id)
+	}
+
+	assert.DeepEqual(t, s.quarantined(), []string(nil))
+	assert.Equal(t, s.scheduler.failureRates.FailureWeight("free"), weightAfter(true, true, true))
+}
+
+// TestGangRunIsOneSampleOfTheFailureRate guards against a gang's run that counts once a member in its queue's failure rate.
+func TestGangRunIsOneSampleOfTheFailureRate(t *testing.T) {
+	for _, cause := range []mill.FinishCause{mill.FinishFailed, mill.FinishDone} {
+		s := newScriptedTest(t, "a", "b", "c", "d")
+		s.scheduler.failureRates.Record("free", true)
+		s.submit("job", wholeWorkers(4))
+		s.endAll("job", slices.Repeat([]mill.FinishCause{cause}, 4)...)
+		assert.Equal(t, s.scheduler.failureRates.FailureWeight("free"), weightAfter(true, cause == mill.FinishFailed), "%s", cause)
+	}
+}
+
+// TestGangRunIsOneRunTime guards against a gang's run that counts once a member in the run time estimates.
+func TestGangRunIsOneRunTime(t *testing.T) {
+	s := newScriptedTest(t, "a", "b", "c", "d")
+
+	for range 8 {
+		s.submit("job", wholeWorkers(4))
+		s.endAll("job", slices.Repeat([]mill.FinishCause{mill.FinishDone}, 4)...)
+		s.state = jobs.NewState()
+		s.state.Apply(&jobs.Command{Setup: simSetup()})
+	}
+
+	assert.Assert(t, !s.scheduler.estimates.HasHistory("free"), "eight runs are no history")
+}
--- /dev/null
+++ b/internal/lead/gang_run.go
@@ -0,0 +1,97 @@
+package lead
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/internal/plan"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// gangVerdictDelay is how long the evidence of a gang's failed run waits for the ends of the other members: longer than
+// their workers' reports take, and short beside the time between the failures of one worker.
+const gangVerdictDelay = time.Second
+
+// gangRun is what the members of one run of a gang share. They work only together, so that they succeed or fail once.
+type gangRun struct {
+	step    mill.StepID
+	number  int
+	members int
+	queue   string
+	// failedBefore says that an earlier run of the gang has failed.
+	failedBefore bool
+	// done says that a member has completed the run.
+	done bool
+	// failedAt is when the first member has failed; zero if none has.
+	failedAt time.Time
+	failure  plan.GangFailure
+}
+
+// joinGang has a run share a gangRun with the other members of its gang.
+func (s *Scheduler) joinGang(r *run, state *jobs.Step) {
+	if r.gang = s.findGangRun(r.task.StepID, r.step.Count, r.number); r.gang != nil {
+		return
+	}
+
+	r.gang = &gangRun{
+		step: r.task.StepID, number: r.number, members: r.step.Count, queue: r.queue,
+		failedBefore: slices.ContainsFunc(state.Tasks, func(t jobs.Task) bool { return t.Failures > 0 }),
+	}
+}
+
+// findGangRun returns what the known members of a gang's run share; nil if none is known.
+func (s *Scheduler) findGangRun(step mill.StepID, members, number int) *gangRun {
+	for index := range members {
+		if member, ok := s.runs[step.Task(index)]; ok && member.number == number {
+			return member.gang
+		}
+	}
+
+	return nil
+}
+
+// gangMemberFailed records a member of a gang that has failed. The run is recorded as evidence later, with the members that
+// fail until then.
+func (s *Scheduler) gangMemberFailed(r *run, now time.Time) {
+	if r.gang.failedAt.IsZero() {
+		r.gang.failedAt = now
+		s.failedGangs = append(s.failedGangs, r.gang)
+	}
+
+	r.gang.failure.Add(&r.worker.health)
+}
+
+// recordFailedGangs records the failed runs of gangs as evidence, of which all members have ended or should have been heard
+// of.
+func (s *Scheduler) recordFailedGangs(now time.Time) {
+	s.failedGangs = slices.DeleteFunc(s.failedGangs, func(g *gangRun) bool {
+		if now.Sub(g.failedAt) < gangVerdictDelay && s.hasActiveMember(g) {
+			return false
+		}
+
+		if g.done {
+			return true // A run that one member has completed is complete for all.
+		}
+
+		// A gang that has failed before, probably elsewhere, says nothing about these workers.
+		if !g.failedBefore {
+			g.failure.Accuse(g.step.Job, s.failureRates.FailureWeight(g.queue), now)
+		}
+
+		s.failureRates.RecordShare(g.queue, g.failure.Share(g.members))
+
+		return true
+	})
+}
+
+// hasActiveMember reports whether a member of a gang's run may be active.
+func (s *Scheduler) hasActiveMember(g *gangRun) bool {
+	for index := range g.members {
+		if member, ok := s.runs[g.step.Task(index)]; ok && member.gang == g && member.cause == "" {
+			return true
+		}
+	}
+
+	return false
+}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -241,6 +241,7 @@
 	if c.step.Gang {
 		r.resumeFrom = gangCheckpoint(c.state)
 		r.checkpoint = r.resumeFrom
+		s.joinGang(r, c.state)
 	}
 
 	if c.advice != nil {
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -80,6 +80,8 @@
 	paceSentAt    time.Time
 	// failedBefore says that an earlier run of the task has failed.
 	failedBefore bool
+	// gang is what the run shares with the other members of its gang; nil for a task that is in none.
+	gang *gangRun
 }
 
 // mayHaveCrashedWorker reports whether the run has started and may be why its worker has crashed.
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -34,8 +34,10 @@
 	waitingSinceFailure map[mill.TaskID]time.Time
 	estimates           plan.RunTimeEstimates
 	failureRates        plan.FailureRates
-	allowedShares       plan.AllowedShares
-	finished            []finishedRun
+	// failedGangs holds the failed runs of gangs that are not recorded as evidence yet.
+	failedGangs   []*gangRun
+	allowedShares plan.AllowedShares
+	finished      []finishedRun
 	// orphans are runs that workers report and that the state does not know.
 	orphans map[mill.RunRef]orphan
 	// machines is the provider's list of machines, requested at machinesListedAt; listingMachines
@@ -166,6 +168,11 @@
 
 		earlierSuspicion: task.Suspicion,
 	}
+
+	if step.Gang {
+		s.joinGang(r, &job.Occurrences[id.Occurrence].Steps[id.Step])
+	}
+
 	s.runs[id] = r
 	r.worker.mayHoldInherited = true
 	r.worker.add(r)
@@ -338,6 +345,7 @@
 	s.withdrawStarts(now)
 
 	actions.Commands = s.finishCommands(now)
+	s.recordFailedGangs(now)
 }
 
 // expireRuns finishes the runs of workers that have certainly stopped, or whose leases have all
@@ -466,14 +474,16 @@
 	switch f.cause {
 	case mill.FinishDone:
 		health.RecordSuccess()
-		s.failureRates.Record(f.run.queue, false)
-
-		if !f.run.startedAt.IsZero() && f.run.resumeFrom == "" {
-			s.recordRunTime(f.run, now.Sub(f.run.startedAt))
-		}
+		s.recordSuccess(f.run, now)
 	case mill.FinishFailed:
 		health.DelayTry(now)
 
+		if f.run.gang != nil {
+			s.gangMemberFailed(f.run, now)
+
+			return
+		}
+
 		// A task that has failed before, probably elsewhere, says nothing about this worker.
 		if !f.run.failedBefore {
 			health.RecordFailure(f.run.task.Job, s.failureRates.FailureWeight(f.run.queue), now)
@@ -483,3 +493,21 @@
 	default:
 	}
 }
+
+// recordSuccess records a successful run in the queue's failure rate and the run time estimates, a gang's with its first
+// member.
+func (s *Scheduler) recordSuccess(r *run, now time.Time) {
+	if r.gang != nil {
+		if r.gang.done {
+			return
+		}
+
+		r.gang.done = true
+	}
+
+	s.failureRates.Record(r.queue, false)
+
+	if !r.startedAt.IsZero() && r.resumeFrom == "" {
+		s.recordRunTime(r, now.Sub(r.startedAt))
+	}
+}
--- a/internal/lead/scripted_test.go
+++ b/internal/lead/scripted_test.go
@@ -42,7 +42,7 @@
 
 	s := &scriptedTest{
 		t: t, now: simStart, state: state, workers: make(map[string]*scriptedWorker),
-		scheduler: New(Bounds{MaxLease: simMaxLease, GangTimeout: simGangTimeout}, 1, simStart, state, place.Pack{}),
+		scheduler: newScriptedLeader(1, simStart, state),
 	}
 
 	for _, id := range workers {
@@ -60,6 +60,25 @@
 	return s
 }
 
+func newScriptedLeader(term uint64, now time.Time, state *jobs.State) *Scheduler {
+	return New(Bounds{MaxLease: simMaxLease, GangTimeout: simGangTimeout}, term, now, state, place.Pack{})
+}
+
+// takeOver begins a term, in which all workers have been heard of.
+func (s *scriptedTest) takeOver() {
+	s.scheduler = newScriptedLeader(2, s.now, s.state)
+	s.pass(simStep)
+
+	for id := range s.workers {
+		s.answer(id)
+	}
+}
+
+// wholeWorkers returns a step of a gang whose members need a worker each.
+func wholeWorkers(count int) mill.Step {
+	return mill.Step{Count: count, Gang: true, Estimate: time.Second, PerTask: mill.Resources{MilliCores: 3000, MemoryMiB: 100}}
+}
+
 // plan has all workers report, plans once, commits what is to be committed, and carries out the start orders.
 func (s *scriptedTest) plan() {
 	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
@@ -177,6 +196,14 @@
 	s.pass(simStep)
 }
 
+// failOn waits for a gang to run, and ends its run as failed on one worker, which breaks the runs of the others.
+func (s *scriptedTest) failOn(job, worker string) {
+	workers := s.awaitStart(job)
+	causes := slices.Repeat([]mill.FinishCause{mill.FinishGangMemberLost}, len(workers))
+	causes[slices.Index(workers, worker)] = mill.FinishFailed
+	s.endAll(job, causes...)
+}
+
 // answer has a worker answer a renewal.
 func (s *scriptedTest) answer(worker string) {
 	w := s.workers[worker]
@@ -189,6 +216,25 @@
 	s.scheduler.RenewAnswered(&Renew{To: mill.WorkerRef{ID: worker, Address: worker}}, reply, s.now, s.now)
 }
 
+// quarantined returns the workers that were quarantined.
+func (s *scriptedTest) quarantined() []string {
+	var found []string
+
+	for _, w := range s.scheduler.workersByID() {
+		if w.health.OnProbation() {
+			found = append(found, w.status.ID)
+		}
+	}
+
+	return found
+}
+
+// cancel cancels a job whose tasks do not run.
+func (s *scriptedTest) cancel(id string) {
+	s.state.Apply(&jobs.Command{Cancel: &jobs.Cancel{Job: id}})
+	s.pass(simStep)
+}
+
 // countEvents returns how many events of a kind there were.
 func (s *scriptedTest) countEvents(kind EventKind) int {
 	count := 0
