Don't take the workers of a slow gang for slow ones

The members of a gang work at the pace of the slowest worker, but the run counted as the run time of each member's worker, so that one slow worker had the fast ones beside it rated as slow, and urgent work went elsewhere. A gang's run now counts once, for the worker among them that is known as the slowest (plan.RecordGangRun). That finds the slow one over several gangs, since a worker that was blamed wrongly gets usual run times with others. Tasks in no gang are rated as before.

--- a/internal/lead/counted_once_test.go
+++ b/internal/lead/counted_once_test.go
@@ -139,3 +139,19 @@
 
 	assert.Assert(t, !s.scheduler.estimates.HasHistory("free"), "eight runs are no history")
 }
+
+// TestFastWorkerIsNotSlowedByItsGang guards against workers that count as slow because a gang has waited for another one.
+func TestFastWorkerIsNotSlowedByItsGang(t *testing.T) {
+	s := newScriptedTest(t, "fast", "slow")
+
+	for range 100 {
+		s.scheduler.estimates.Record("free", time.Second, time.Second)
+		s.worker("slow").slowness.Record(2*time.Second, time.Second)
+	}
+
+	s.submit("job", wholeWorkers(2))
+	s.pass(3 * time.Second)
+	s.endAll("job", mill.FinishDone, mill.FinishDone)
+	assert.Equal(t, s.worker("fast").slowness.Factor(), 1.0)
+	assert.Assert(t, s.worker("slow").slowness.Factor() > 2)
+}
--- a/internal/lead/gang_run.go
+++ b/internal/lead/gang_run.go
@@ -19,6 +19,8 @@
 	number  int
 	members int
 	queue   string
+	// slownesses holds what is known of the speed of each member's worker.
+	slownesses []*plan.Slowness
 	// failedBefore says that an earlier run of the gang has failed.
 	failedBefore bool
 	// done says that a member has completed the run.
@@ -30,14 +32,16 @@
 
 // joinGang has a run share a gangRun with the other members of its gang.
 func (s *Scheduler) joinGang(r *run, state *jobs.Step) {
-	if r.gang = s.findGangRun(r.task.StepID, r.step.Count, r.number); r.gang != nil {
-		return
-	}
+	r.gang = s.findGangRun(r.task.StepID, r.step.Count, r.number)
 
-	r.gang = &gangRun{
-		step: r.task.StepID, number: r.number, members: r.step.Count, queue: r.queue,
-		failedBefore: slices.ContainsFunc(state.Tasks, func(t jobs.Task) bool { return t.Failures > 0 }),
+	if r.gang == nil {
+		r.gang = &gangRun{
+			step: r.task.StepID, number: r.number, members: r.step.Count, queue: r.queue,
+			failedBefore: slices.ContainsFunc(state.Tasks, func(t jobs.Task) bool { return t.Failures > 0 }),
+		}
 	}
+
+	r.gang.slownesses = append(r.gang.slownesses, &r.worker.slowness)
 }
 
 // findGangRun returns what the known members of a gang's run share; nil if none is known.
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -456,11 +456,17 @@
 	return commands
 }
 
-// recordRunTime updates the run time estimates and the worker's slowness with a run that was executed
-// from the beginning.
+// recordRunTime updates the run time estimates and the worker's slowness, or that of a gang's workers, with a run that was
+// executed from the beginning.
 func (s *Scheduler) recordRunTime(r *run, took time.Duration) {
 	if s.estimates.HasHistory(r.queue) {
-		r.worker.slowness.Record(took, s.estimates.Correct(r.queue, r.step.Estimate))
+		expected := s.estimates.Correct(r.queue, r.step.Estimate)
+
+		if r.gang != nil {
+			plan.RecordGangRun(r.gang.slownesses, took, expected)
+		} else {
+			r.worker.slowness.Record(took, expected)
+		}
 	}
 
 	s.estimates.Record(r.queue, took, r.step.Estimate)
--- a/internal/lead/scripted_test.go
+++ b/internal/lead/scripted_test.go
@@ -216,6 +216,11 @@
 	s.scheduler.RenewAnswered(&Renew{To: mill.WorkerRef{ID: worker, Address: worker}}, reply, s.now, s.now)
 }
 
+// worker returns the scheduler's view of a worker.
+func (s *scriptedTest) worker(id string) *worker {
+	return s.scheduler.workers[id]
+}
+
 // quarantined returns the workers that were quarantined.
 func (s *scriptedTest) quarantined() []string {
 	var found []string
--- a/internal/plan/slowness.go
+++ b/internal/plan/slowness.go
@@ -1,6 +1,10 @@
 package plan
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// minRunWeight is the weight of the newest run in the moving average. The average covers
@@ -34,3 +38,10 @@
 func (s *Slowness) Factor() float64 {
 	return (s.runs*s.mean + priorRuns) / (s.runs + priorRuns)
 }
+
+// RecordGangRun records the run of a gang, given the workers of its members. They work at the pace of the slowest one, so
+// the run says little about the others, and is recorded for the one that is known as the slowest.
+func RecordGangRun(members []*Slowness, actual, expected time.Duration) {
+	slowest := slices.MaxFunc(members, func(a, b *Slowness) int { return cmp.Compare(a.Factor(), b.Factor()) })
+	slowest.Record(actual, expected)
+}
