Don't quarantine workers that progress beside a gang that stands still

When one worker hangs, no member of its gang makes progress, and each member's worker was quarantined as stalled. A worker on which another run has progressed within the stall timeout does not hang, so it is spared now; if its other runs stand still too, they have it quarantined by themselves. Workers that run nothing but such gangs are quarantined as before, since nothing tells which one hangs.

TestStalledGangSparesWorkersWhoseOtherTasksProgress failed on the code before (2 workers quarantined, not 1).

--- a/internal/lead/counted_once_test.go
+++ b/internal/lead/counted_once_test.go
@@ -155,3 +155,22 @@
 	assert.Equal(t, s.worker("fast").slowness.Factor(), 1.0)
 	assert.Assert(t, s.worker("slow").slowness.Factor() > 2)
 }
+
+// TestStalledGangSparesWorkersWhoseOtherTasksProgress guards against a worker that hangs, and has those of all members of
+// its gang quarantined as stalled.
+func TestStalledGangSparesWorkersWhoseOtherTasksProgress(t *testing.T) {
+	s := newScriptedTest(t, "a", "b")
+	sound := s.submit("other", shortStep(1))[0]
+	s.submit("gang", wholeWorkers(2))
+
+	for step := range 100 {
+		s.pass(100 * time.Millisecond)
+		s.progress("other", float64(1+step)/2)
+		s.answer("a")
+		s.answer("b")
+	}
+
+	assert.Equal(t, s.countEvents(EventStalled), 2)
+	assert.Equal(t, len(s.quarantined()), 1)
+	assert.Assert(t, s.quarantined()[0] != sound)
+}
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -333,8 +333,12 @@
 
 	if r.phase == runStarted && !r.stopping && now.Sub(r.progressAt) > limit {
 		s.stopRun(r)
-		r.worker.health.Quarantine(now)
 		s.addEvent(EventStalled, r, "")
+
+		// All members of a gang stand still if the worker of one hangs.
+		if !r.step.Gang || !r.worker.progresses(now) {
+			r.worker.health.Quarantine(now)
+		}
 	}
 }
 
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -94,6 +94,11 @@
 	return r.cause == "" && !r.stopping && r.phase != runInherited && r.phase != runDoubtful
 }
 
+// mustProgress reports whether the run hangs if it makes no progress.
+func (r *run) mustProgress() bool {
+	return r.slowedPercent == 0 && (!r.step.LongRunning || r.percent < fullPercent)
+}
+
 func (r *run) ref() mill.RunRef {
 	return mill.RunRef{Task: r.task, Run: r.number}
 }
--- a/internal/lead/scripted_test.go
+++ b/internal/lead/scripted_test.go
@@ -196,6 +196,18 @@
 	s.pass(simStep)
 }
 
+// progress sets the progress of all tasks of a job, of which their workers tell in their next answers.
+func (s *scriptedTest) progress(job string, percent float64) {
+	for _, w := range s.workers {
+		for task, status := range w.running {
+			if task.Job == job {
+				status.Percent = percent
+				w.running[task] = status
+			}
+		}
+	}
+}
+
 // failOn waits for a gang to run, and ends its run as failed on one worker, which breaks the runs of the others.
 func (s *scriptedTest) failOn(job, worker string) {
 	workers := s.awaitStart(job)
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -198,6 +198,17 @@
 	return false
 }
 
+// progresses reports whether a run on the worker makes progress, so that the worker does not hang.
+func (w *worker) progresses(now time.Time) bool {
+	for _, r := range w.runs {
+		if r.phase == runStarted && r.mustProgress() && r.percent > 0 && now.Sub(r.progressAt) < stallTimeout {
+			return true
+		}
+	}
+
+	return false
+}
+
 // answers reports whether the worker reports and answers, and is not about to stop.
 func (w *worker) answers(now time.Time) bool {
 	if w.gone || w.leaving || w.lastHeard.IsZero() || w.status.Draining || !w.clock.known() {
