Have a whole gang avoid a worker that has failed it

A member avoided only the workers on which it had failed itself, so the next run of its gang put another member on the same faulty worker, and so on until the attempts were used up: the job failed beside idle workers. All members now avoid these workers for as long as a single task does (1.2 s), if the other workers, empty, could take the gang; one that should be on one rack stays on it if no other rack could. Tasks in no gang are placed as before.

On the code before, TestGangAvoidsTheWorkerThatHasFailedIt, TestGangAvoidsAWorkerOnAnotherRack and TestGangsOutliveAFaultyWorker ("failed != completed") failed.

--- a/internal/lead/counted_once_test.go
+++ b/internal/lead/counted_once_test.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -174,3 +175,51 @@
 	assert.Equal(t, len(s.quarantined()), 1)
 	assert.Assert(t, s.quarantined()[0] != sound)
 }
+
+// TestGangAvoidsTheWorkerThatHasFailedIt guards against a gang that uses up its attempts on one faulty worker, which gets
+// another member each time.
+func TestGangAvoidsTheWorkerThatHasFailedIt(t *testing.T) {
+	s := newScriptedTest(t, "a", "b", "c", "d")
+	faulty := s.submit("job", wholeWorkers(2))[0]
+
+	s.failOn("job", faulty)
+	assert.Assert(t, !slices.Contains(s.awaitStart("job"), faulty))
+}
+
+// TestGangsOutliveAFaultyWorker plays gangs beside room for several, with a worker that fails each of them, and expects all
+// to complete.
+func TestGangsOutliveAFaultyWorker(t *testing.T) {
+	sim := newSimulation(t, nil, 12)
+	sim.faultless = false
+	sim.executors[0].fails = true
+	sim.run(time.Second)
+
+	for number := range 20 {
+		sim.submit(fmt.Sprintf("job%02d", number), "free", time.Second, wholeWorkers(4))
+		sim.run(3 * time.Second)
+	}
+
+	sim.run(10 * time.Second)
+
+	for id := range sim.specs {
+		job, _ := sim.state.Job(id)
+		assert.Equal(t, job.Outcome, mill.JobCompleted, "%s", id)
+	}
+}
+
+// TestGangAvoidsAWorkerOnAnotherRack expects a gang that should be on one rack to avoid a worker that has failed it if
+// another rack has the room, and to stay on its rack if none has.
+func TestGangAvoidsAWorkerOnAnotherRack(t *testing.T) {
+	step := wholeWorkers(2)
+	step.SameRack = true
+
+	for _, other := range []string{"b2", "c1"} {
+		s := newScriptedTest(t, "a1", "a2", "b1", other)
+		workers := s.submit("job", step)
+		s.failOn("job", workers[0])
+
+		again := s.awaitStart("job")
+		assert.Equal(t, again[0][0], again[1][0], "%v", again)
+		assert.Equal(t, slices.Contains(again, workers[0]), other == "c1", "%v", again)
+	}
+}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -133,22 +133,68 @@
 		return nil
 	}
 
-	allowed := make([]string, 0, len(pool))
+	allowed := make([]*worker, 0, len(pool))
 
 	for _, w := range pool {
 		if ok, _ := c.allows(w.status.ID, s.termStart); ok && c.compatible(w) {
-			allowed = append(allowed, w.status.ID)
+			allowed = append(allowed, w)
 		}
 	}
 
-	return func(index int, worker string) bool {
+	if c.step.Gang && c.fitsWithoutFailed(allowed) {
+		return s.avoidForGang(c, now)
+	}
+
+	return func(index int, id string) bool {
 		failedOn := c.state.Tasks[c.waiting[index]].FailedOn
-		if !slices.Contains(failedOn, worker) || now.Sub(s.waitingSince(c.id.Task(c.waiting[index]), now)) > maxAvoidTime {
+		if !slices.Contains(failedOn, id) || now.Sub(s.waitingSince(c.id.Task(c.waiting[index]), now)) > maxAvoidTime {
 			return false
 		}
 
-		return slices.ContainsFunc(allowed, func(id string) bool { return !slices.Contains(failedOn, id) })
+		return slices.ContainsFunc(allowed, func(w *worker) bool { return !slices.Contains(failedOn, w.status.ID) })
+	}
+}
+
+// avoidForGang returns a function that reports whether no member of a gang should go to a worker because one has failed
+// there: they fail together.
+func (s *Scheduler) avoidForGang(c *candidate, now time.Time) func(index int, worker string) bool {
+	if now.Sub(s.waitingSince(c.id.Task(c.waiting[0]), now)) > maxAvoidTime {
+		return nil
 	}
+
+	var failedOn []string
+
+	for _, index := range c.waiting {
+		failedOn = append(failedOn, c.state.Tasks[index].FailedOn...)
+	}
+
+	return func(_ int, worker string) bool { return slices.Contains(failedOn, worker) }
+}
+
+// fitsWithoutFailed reports whether a gang could be placed on the workers on which no member has failed if they were empty,
+// on one rack if it should be and there is such a rack.
+func (c *candidate) fitsWithoutFailed(workers []*worker) bool {
+	others := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return c.failedOn(w.status.ID) })
+
+	return c.fitsIfEmpty(others, c.step.SameRack && c.fitsIfEmpty(workers, true))
+}
+
+// fitsIfEmpty reports whether a gang could be placed on some workers, or on those of one rack, if they were empty.
+func (c *candidate) fitsIfEmpty(workers []*worker, oneRack bool) bool {
+	places := make(map[string]int)
+
+	for _, w := range workers {
+		rack := ""
+		if oneRack {
+			rack = w.status.Rack
+		}
+
+		if places[rack] += c.places(w, w.status.Capacity); places[rack] >= c.together() {
+			return true
+		}
+	}
+
+	return false
 }
 
 // waitingSince returns since when a task that has failed waits for a worker on which it has not
--- a/internal/lead/scripted_test.go
+++ b/internal/lead/scripted_test.go
@@ -34,6 +34,7 @@
 	events       []Event
 }
 
+// newScriptedTest returns a test with workers whose racks are the first letters of their ids.
 func newScriptedTest(t *testing.T, workers ...string) *scriptedTest {
 	t.Helper()
 
@@ -48,7 +49,7 @@
 	for _, id := range workers {
 		s.workers[id] = &scriptedWorker{
 			status: mill.WorkerStatus{
-				ID: id, StartUnixMilli: 1, Service: "pool", Address: id, Rack: "r",
+				ID: id, StartUnixMilli: 1, Service: "pool", Address: id, Rack: id[:1],
 				Capacity: mill.Resources{MilliCores: simCapacity, MemoryMiB: simCapacity},
 			},
 			running: make(map[mill.TaskID]mill.RunStatus),
