Wait for an earlier leader's lease of a worker that is shutting down

A worker that is shutting down is granted no lease. If one with runs of an earlier leader answered a new leader once and was silent then, the new leader knew of no lease, took the runs for lapsed at once, and started their tasks elsewhere while they ran on (TWICE). Now the longest possible lease counts from that answer, unless one was granted.

TestLeavingWorkerKeepsTheLeaseOfTheEarlierLeader failed on the code before ("run 2 starts on x01 while run 1 is on x00").

--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -209,6 +209,8 @@
 		return
 	}
 
+	s.assumeInheritedLease(w, renew, reply)
+
 	w.contacted = true
 	w.unfenced = false
 	w.freshReport = true
@@ -241,6 +243,14 @@
 	}
 }
 
+// assumeInheritedLease assumes the longest possible lease for a worker that may hold runs of an earlier leader, whose leases
+// are not known, and answers a renewal that granted none.
+func (s *Scheduler) assumeInheritedLease(w *worker, renew *Renew, reply *mill.RenewReply) {
+	if w.mayHoldInherited && renew.Order.LeaseExpiryMilli == 0 {
+		w.leaseEndMilli = max(w.leaseEndMilli, reply.ClockMilli+s.bounds.MaxLease.Milliseconds())
+	}
+}
+
 func (s *Scheduler) readFinished(w *worker, finished []mill.FinishedRun) {
 	for i := range finished {
 		f := &finished[i]
