--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -33,7 +33,9 @@
 	startedAt time.Time
 	stopsAt   time.Time
 	fails     bool
-	percent   float64
+	// end is how the run ends as a member of a failing gang; nil before the gang has failed.
+	end     *memberEnd
+	percent float64
 	// slowedPercent is by how much the run is throttled.
 	slowedPercent int
 	// late says that the start order was carried out seconds after it was sent.
@@ -82,9 +84,11 @@
 	hangs         bool
 	fence         uint64
 	leaseEndMilli int64
-	running       map[mill.TaskID]*execution
-	finished      []mill.FinishedRun
-	finishNumber  uint64
+	// leaseExpiredAt is the last time at which the executor had no lease.
+	leaseExpiredAt time.Time
+	running        map[mill.TaskID]*execution
+	finished       []mill.FinishedRun
+	finishNumber   uint64
 	// lastFinishedRun holds the highest run of a task that has finished or was stopped before it started;
 	// orders to start this run or an earlier one are refused.
 	lastFinishedRun map[mill.TaskID]int
@@ -262,14 +266,14 @@
 	job := e.sim.specs[order.Task.Job]
 	step := &job.work.Steps[order.Task.Step]
 
-	e.sim.checkStart(e, order, step, late)
+	e.sim.checkStart(e, order, late)
 
 	a := &execution{
 		ref:       mill.RunRef{Task: order.Task, Run: order.Run},
 		step:      step,
 		duration:  job.duration,
 		startedAt: e.sim.now,
-		fails:     e.fails || e.sim.taskFails(order.Task),
+		fails:     e.fails || e.sim.runFails(mill.RunRef{Task: order.Task, Run: order.Run}),
 		late:      late,
 	}
 	e.running[order.Task] = a
@@ -351,7 +355,7 @@
 	}
 
 	for len(e.finished) > 0 && e.finished[0].Number <= order.Acknowledged {
-		e.sim.checkAcknowledged(&e.finished[0])
+		e.sim.checkAcknowledged(e, &e.finished[0])
 		e.finished = e.finished[1:]
 	}
 
@@ -408,6 +412,10 @@
 	e.lastFinishedRun[a.ref.Task] = max(e.lastFinishedRun[a.ref.Task], a.ref.Run)
 	e.finished = append(e.finished, mill.FinishedRun{RunRef: a.ref, Number: e.finishNumber, Cause: cause})
 	e.sim.checkFinish(e, a, cause)
+
+	if cause == mill.FinishFailed {
+		e.sim.attempts.recordFailed(a.ref)
+	}
 }
 
 // executions returns the runs in a fixed order, so that a seed replays.
@@ -423,6 +431,10 @@
 		return
 	}
 
+	if e.clock() > e.leaseEndMilli {
+		e.leaseExpiredAt = e.sim.now
+	}
+
 	for _, a := range e.executions() {
 		if e.running[a.ref.Task] != a {
 			continue // It has finished with its gang.
@@ -433,6 +445,10 @@
 			e.finish(a, mill.FinishLeaseExpired)
 		case !a.stopsAt.IsZero() && !e.sim.now.Before(a.stopsAt):
 			e.finish(a, mill.FinishStopped)
+		case a.end != nil:
+			if !e.sim.now.Before(a.end.at) {
+				e.finish(a, a.end.cause)
+			}
 		case a.step.Gang && !e.sim.gangComplete(a):
 			e.abortIncompleteGang(a)
 		case !e.hangs:
@@ -456,7 +472,11 @@
 	a.percent = float64(100*a.done) / float64(a.duration)
 
 	if a.fails && a.done*3 > a.duration {
-		e.finish(a, mill.FinishFailed)
+		if a.step.Gang && e.sim.gangsFailTogether {
+			e.sim.failGang(a)
+		} else {
+			e.finish(a, mill.FinishFailed)
+		}
 
 		return
 	}
--- a/internal/lead/gang_run.go
+++ b/internal/lead/gang_run.go
@@ -16,9 +16,10 @@
 // gangRun is what the members of one run of a gang share. They work only together, so that they succeed or fail once.
 type gangRun struct {
 	step    mill.StepID
-	number  int
 	members int
 	queue   string
+	// attempt decides how the members' ends are committed.
+	attempt *jobs.GangRun
 	// slownesses holds what is known of the speed of each member's worker.
 	slownesses []*plan.Slowness
 	// failedBefore says that an earlier run of the gang has failed.
@@ -31,13 +32,14 @@
 }
 
 // joinGang has a run share a gangRun with the other members of its gang.
-func (s *Scheduler) joinGang(r *run, state *jobs.Step) {
+func (s *Scheduler) joinGang(r *run, job *jobs.Job, state *jobs.Step) {
 	r.gang = s.findGangRun(r.task.StepID, r.step.Count, r.number)
 
 	if r.gang == nil {
 		r.gang = &gangRun{
-			step: r.task.StepID, number: r.number, members: r.step.Count, queue: r.queue,
-			failedBefore: slices.ContainsFunc(state.Tasks, func(t jobs.Task) bool { return t.Failures > 0 }),
+			step: r.task.StepID, members: r.step.Count, queue: r.queue,
+			attempt:      jobs.NewGangRun(job, r.task.StepID, r.number),
+			failedBefore: slices.ContainsFunc(state.Tasks, func(t jobs.Task) bool { return t.HasFailed() }),
 		}
 	}
 
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -278,7 +278,7 @@
 		checkpoint: task.Checkpoint,
 		resumeFrom: task.Checkpoint,
 
-		failedBefore: task.Failures > 0,
+		failedBefore: task.HasFailed(),
 		isolating:    c.isolated,
 
 		earlierSuspicion: task.Suspicion,
@@ -287,7 +287,7 @@
 	if c.step.Gang {
 		r.resumeFrom = gangCheckpoint(c.state)
 		r.checkpoint = r.resumeFrom
-		s.joinGang(r, c.state)
+		s.joinGang(r, c.job, c.state)
 	}
 
 	if c.advice != nil {
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -92,6 +92,25 @@
 	recorded bool
 }
 
+// command returns what records the finished run.
+func (f *finishedRun) command() *jobs.Finish {
+	finished := &jobs.Finish{
+		Task:       f.run.task,
+		Run:        f.run.number,
+		Cause:      f.cause,
+		Checkpoint: f.run.checkpoint,
+		Suspicion:  f.run.suspicion,
+		Cleared:    f.run.earlierSuspicion > 0 && f.run.proven,
+		GivesUp:    f.run.givesUp(),
+	}
+
+	if f.run.gang != nil {
+		f.run.gang.attempt.Amend(finished)
+	}
+
+	return finished
+}
+
 // orphan is a run on a worker that the state does not know. It is stopped.
 type orphan struct {
 	worker   *worker
@@ -170,7 +189,7 @@
 	}
 
 	if step.Gang {
-		s.joinGang(r, &job.Occurrences[id.Occurrence].Steps[id.Step])
+		s.joinGang(r, job, &job.Occurrences[id.Occurrence].Steps[id.Step])
 	}
 
 	s.runs[id] = r
@@ -440,15 +459,7 @@
 			s.addEvent(EventFinish, f.run, string(f.cause))
 		}
 
-		commands = append(commands, jobs.Command{Finish: &jobs.Finish{
-			Task:       f.run.task,
-			Run:        f.run.number,
-			Cause:      f.cause,
-			Checkpoint: f.run.checkpoint,
-			Suspicion:  f.run.suspicion,
-			Cleared:    f.run.earlierSuspicion > 0 && f.run.proven,
-			GivesUp:    f.run.givesUp(),
-		}})
+		commands = append(commands, jobs.Command{Finish: f.command()})
 	}
 
 	s.finished = nil
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -56,6 +56,8 @@
 	at       time.Time
 	by       *leader
 	commands []jobs.Command
+	// readFailed holds the runs whose ends as failed the leader had read when it proposed the commands.
+	readFailed map[mill.RunRef]bool
 }
 
 // faults is the probability of each fault of an order, in percent.
@@ -67,6 +69,8 @@
 	// lostReport and lateReport are those of a worker's report.
 	lostReport int
 	lateReport int
+	// repeatedList is the probability that a list of runs arrives once more, later.
+	repeatedList int
 }
 
 // simulation is a pool of executors with a replicated log and its leader, in simulated time. It
@@ -84,7 +88,7 @@
 	faults    faults
 	// completedTasks holds the tasks whose completion is committed.
 	completedTasks map[mill.TaskID]bool
-	failures       map[mill.TaskID]int
+	attempts       attemptCheck
 	// crashingTasks crash each executor that starts them; crashes counts that, and startsAfterCrashes the starts after
 	// the third time. losses counts for every task the crashes of executors that ran it.
 	crashingTasks      map[mill.TaskID]bool
@@ -96,8 +100,12 @@
 	crashDelay        time.Duration
 	crashesUnanswered bool
 	staysAway         bool
-	// failingJobs holds the jobs whose tasks always fail.
+	// failingJobs holds the jobs whose tasks always fail, and failingRuns those whose tasks fail in runs up to a number.
 	failingJobs map[string]bool
+	failingRuns map[string]int
+	// gangsFailTogether has several members of a gang fail in one run. Otherwise, one does, and the others end at once.
+	gangsFailTogether bool
+	gangFaults        gangFaults
 	// faultless says that the test injects no faults.
 	faultless bool
 	// disturbedAt is when the leader or an order was last disturbed; see checkCanceled.
@@ -130,17 +138,18 @@
 		state:               jobs.NewState(),
 		specs:               make(map[string]*jobSpec),
 		completedTasks:      make(map[mill.TaskID]bool),
-		failures:            make(map[mill.TaskID]int),
 		crashingTasks:       make(map[mill.TaskID]bool),
 		crashes:             make(map[mill.TaskID]int),
 		startsAfterCrashes:  make(map[mill.TaskID]int),
 		losses:              make(map[mill.TaskID]int),
 		failingJobs:         make(map[string]bool),
+		failingRuns:         make(map[string]int),
 		adviceRequestsByJob: make(map[string]int),
 		faultless:           true,
 		advisorAddresses:    []string{"here", "there"},
 		decideTime:          simDecideTime,
 	}
+	sim.attempts = newAttemptCheck(sim)
 	sim.standstill = standstillCheck{sim: sim, lastRan: make(map[mill.TaskID]time.Time), asking: make(map[string]bool)}
 
 	sim.state.Apply(&jobs.Command{Setup: simSetup()})
@@ -233,8 +242,8 @@
 		keep = sim.pick("entries that survive", keep+1)
 	}
 
-	for _, p := range sim.proposals[:keep] {
-		sim.apply(p.commands)
+	for i := range sim.proposals[:keep] {
+		sim.apply(&sim.proposals[i])
 	}
 
 	sim.proposals = nil
@@ -270,6 +279,11 @@
 		return rapid.IntRange(0, limit-1).Draw(sim.draws, name)
 	}
 
+	return sim.choose(name, limit)
+}
+
+// choose derives a number below a limit from a hash. It takes no draw from the test's seed.
+func (sim *simulation) choose(name string, limit int) int {
 	sim.choices++
 
 	hash := fnv.New64a()
@@ -280,26 +294,12 @@
 
 // flip decides with even chances. It takes no draw from the test's seed.
 func (sim *simulation) flip(name string) bool {
-	sim.choices++
-
-	hash := fnv.New64a()
-	_, _ = fmt.Fprint(hash, name, sim.choices)
-
-	return hash.Sum64()%2 == 0
+	return sim.choose(name, 2) == 0
 }
 
 // chance reports whether something that happens in a percentage of cases happens now.
 func (sim *simulation) chance(name string, percent int) bool {
-	if percent == 0 {
-		return false
-	}
-
-	sim.choices++
-
-	hash := fnv.New64a()
-	_, _ = fmt.Fprint(hash, name, sim.choices)
-
-	return int(hash.Sum64()%100) < percent
+	return percent > 0 && sim.choose(name, 100) < percent
 }
 
 // run lets time pass.
@@ -339,11 +339,12 @@
 	for len(sim.proposals) > 0 && !sim.proposals[0].at.After(sim.now) {
 		p := sim.proposals[0]
 		sim.proposals = sim.proposals[1:]
-		p.by.scheduler.Committed(p.commands, sim.apply(p.commands), nil, sim.now)
+		p.by.scheduler.Committed(p.commands, sim.apply(&p), nil, sim.now)
 	}
 }
 
-func (sim *simulation) apply(commands []jobs.Command) []jobs.Result {
+func (sim *simulation) apply(p *proposal) []jobs.Result {
+	commands := p.commands
 	results := make([]jobs.Result, 0, len(commands))
 
 	for i := range commands {
@@ -360,8 +361,9 @@
 			sim.markCompleted(finish.Task)
 		}
 
-		if finish := commands[i].Finish; finish != nil && result == jobs.ResultApplied && finish.Cause == mill.FinishFailed {
-			sim.failures[finish.Task]++
+		if finish := commands[i].Finish; finish != nil && result == jobs.ResultApplied {
+			run := mill.RunRef{Task: finish.Task, Run: finish.Run}
+			sim.attempts.recordCommitted(run, p.readFailed[run])
 		}
 	}
 
@@ -400,7 +402,10 @@
 	}
 
 	if len(actions.Commands) > 0 {
-		sim.proposals = append(sim.proposals, proposal{at: sim.now.Add(20 * time.Millisecond), by: l, commands: actions.Commands})
+		sim.proposals = append(sim.proposals, proposal{
+			at: sim.now.Add(20 * time.Millisecond), by: l, commands: actions.Commands,
+			readFailed: sim.attempts.readBy(l, actions.Commands),
+		})
 	}
 
 	for i := range actions.Starts {
