--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -68,7 +68,7 @@
 
 	placed := c.waiting[:len(chosen)]
 	c.waiting = c.waiting[len(chosen):]
-	gang := nextGangRun(c)
+	number := s.nextGangRun(c)
 	commands := make([]jobs.Command, 0, len(chosen))
 
 	if len(chosen) > 0 {
@@ -80,7 +80,7 @@
 	}
 
 	for index, at := range chosen {
-		r := s.newRun(c, placed[index], workers[at], gang, p.now)
+		r := s.newRun(c, placed[index], workers[at], number, p.now)
 		p.pool(c).allocate(c.step.Reserves())
 
 		commands = append(commands, jobs.Command{Place: &jobs.Place{
@@ -133,22 +133,68 @@
 		return nil
 	}
 
-	allowed := make([]string, 0, len(pool))
+	allowed := make([]*worker, 0, len(pool))
 
 	for _, w := range pool {
 		if ok, _ := c.allows(w.status.ID, s.termStart); ok && c.compatible(w) {
-			allowed = append(allowed, w.status.ID)
+			allowed = append(allowed, w)
 		}
 	}
 
-	return func(index int, worker string) bool {
+	if c.step.Gang && c.fitsWithoutFailed(allowed) {
+		return s.avoidForGang(c, now)
+	}
+
+	return func(index int, id string) bool {
 		failedOn := c.state.Tasks[c.waiting[index]].FailedOn
-		if !slices.Contains(failedOn, worker) || now.Sub(s.waitingSince(c.id.Task(c.waiting[index]), now)) > maxAvoidTime {
+		if !slices.Contains(failedOn, id) || now.Sub(s.waitingSince(c.id.Task(c.waiting[index]), now)) > maxAvoidTime {
 			return false
 		}
 
-		return slices.ContainsFunc(allowed, func(id string) bool { return !slices.Contains(failedOn, id) })
+		return slices.ContainsFunc(allowed, func(w *worker) bool { return !slices.Contains(failedOn, w.status.ID) })
+	}
+}
+
+// avoidForGang returns a function that reports whether no member of a gang should go to a worker because one has failed
+// there: they fail together.
+func (s *Scheduler) avoidForGang(c *candidate, now time.Time) func(index int, worker string) bool {
+	if now.Sub(s.waitingSince(c.id.Task(c.waiting[0]), now)) > maxAvoidTime {
+		return nil
+	}
+
+	var failedOn []string
+
+	for _, index := range c.waiting {
+		failedOn = append(failedOn, c.state.Tasks[index].FailedOn...)
 	}
+
+	return func(_ int, worker string) bool { return slices.Contains(failedOn, worker) }
+}
+
+// fitsWithoutFailed reports whether a gang could be placed on the workers on which no member has failed if they were empty,
+// on one rack if it should be and there is such a rack.
+func (c *candidate) fitsWithoutFailed(workers []*worker) bool {
+	others := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return c.failedOn(w.status.ID) })
+
+	return c.fitsIfEmpty(others, c.step.SameRack && c.fitsIfEmpty(workers, true))
+}
+
+// fitsIfEmpty reports whether a gang could be placed on some workers, or on those of one rack, if they were empty.
+func (c *candidate) fitsIfEmpty(workers []*worker, oneRack bool) bool {
+	places := make(map[string]int)
+
+	for _, w := range workers {
+		rack := ""
+		if oneRack {
+			rack = w.status.Rack
+		}
+
+		if places[rack] += c.places(w, w.status.Capacity); places[rack] >= c.together() {
+			return true
+		}
+	}
+
+	return false
 }
 
 // waitingSince returns since when a task that has failed waits for a worker on which it has not
@@ -197,10 +243,11 @@
 	return count
 }
 
-// nextGangRun returns the next run of a gang, or nil for a step whose tasks run independently.
-func nextGangRun(c *candidate) *jobs.GangRun {
+// nextGangRun returns the number that all members of a gang use for their next run, or 0 for a step
+// whose tasks are numbered independently.
+func (s *Scheduler) nextGangRun(c *candidate) int {
 	if !c.step.Gang {
-		return nil
+		return 0
 	}
 
 	number := 0
@@ -208,16 +255,14 @@
 		number = max(number, c.state.Tasks[i].Run)
 	}
 
-	return jobs.NewGangRun(c.job, c.id, number+1)
+	return number + 1
 }
 
-// newRun adds the run for the placement of a task, which is part of a gang's run unless that is nil.
-func (s *Scheduler) newRun(c *candidate, index int, w *worker, gang *jobs.GangRun, now time.Time) *run {
+// newRun adds the run for the placement of a task; the number 0 selects the task's next one.
+func (s *Scheduler) newRun(c *candidate, index int, w *worker, number int, now time.Time) *run {
 	task := &c.state.Tasks[index]
-	number := task.Run + 1
-
-	if gang != nil {
-		number = gang.Number()
+	if number == 0 {
+		number = task.Run + 1
 	}
 
 	r := &run{
@@ -235,7 +280,6 @@
 
 		failedBefore: task.HasFailed(),
 		isolating:    c.isolated,
-		gang:         gang,
 
 		earlierSuspicion: task.Suspicion,
 	}
@@ -243,6 +287,7 @@
 	if c.step.Gang {
 		r.resumeFrom = gangCheckpoint(c.state)
 		r.checkpoint = r.resumeFrom
+		s.joinGang(r, c.job, c.state)
 	}
 
 	if c.advice != nil {
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -81,8 +80,8 @@
 	paceSentAt    time.Time
 	// failedBefore says that an earlier run of the task has failed.
 	failedBefore bool
-	// gang is shared by the members of a gang's run; nil for other tasks.
-	gang *jobs.GangRun
+	// gang is what the run shares with the other members of its gang; nil for a task that is in none.
+	gang *gangRun
 }
 
 // mayHaveCrashedWorker reports whether the run has started and may be why its worker has crashed.
@@ -95,6 +94,11 @@
 	return r.cause == "" && !r.stopping && r.phase != runInherited && r.phase != runDoubtful
 }
 
+// mustProgress reports whether the run hangs if it makes no progress.
+func (r *run) mustProgress() bool {
+	return r.slowedPercent == 0 && (!r.step.LongRunning || r.percent < fullPercent)
+}
+
 func (r *run) ref() mill.RunRef {
 	return mill.RunRef{Task: r.task, Run: r.number}
 }
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -34,8 +34,10 @@
 	waitingSinceFailure map[mill.TaskID]time.Time
 	estimates           plan.RunTimeEstimates
 	failureRates        plan.FailureRates
-	allowedShares       plan.AllowedShares
-	finished            []finishedRun
+	// failedGangs holds the failed runs of gangs that are not recorded as evidence yet.
+	failedGangs   []*gangRun
+	allowedShares plan.AllowedShares
+	finished      []finishedRun
 	// orphans are runs that workers report and that the state does not know.
 	orphans map[mill.RunRef]orphan
 	// machines is the provider's list of machines, requested at machinesListedAt; listingMachines
@@ -86,6 +88,8 @@
 type finishedRun struct {
 	run   *run
 	cause mill.FinishCause
+	// recorded says that the run was proposed as finished before, and is recorded as evidence and for the log.
+	recorded bool
 }
 
 // command returns what records the finished run.
@@ -101,7 +105,7 @@
 	}
 
 	if f.run.gang != nil {
-		f.run.gang.Amend(finished)
+		f.run.gang.attempt.Amend(finished)
 	}
 
 	return finished
@@ -158,29 +162,18 @@
 	for number, occurrence := range job.Occurrences {
 		for index := range occurrence.Steps {
 			id := mill.StepID{Job: job.ID, Occurrence: number, Step: index}
-			s.inheritStep(job, id, &occurrence.Steps[index])
+			for at := range occurrence.Steps[index].Tasks {
+				s.inheritTask(job, id.Task(at), &occurrence.Steps[index].Tasks[at])
+			}
 		}
 	}
 }
 
-func (s *Scheduler) inheritStep(job *jobs.Job, id mill.StepID, step *jobs.Step) {
-	var gang *jobs.GangRun
-
-	for index := range step.Tasks {
-		task := &step.Tasks[index]
-		if task.Phase != jobs.TaskPlaced {
-			continue
-		}
-
-		if job.Work.Steps[id.Step].Gang && (gang == nil || gang.Number() != task.Run) {
-			gang = jobs.NewGangRun(job, id, task.Run)
-		}
-
-		s.inheritTask(job, id.Task(index), task, gang)
+func (s *Scheduler) inheritTask(job *jobs.Job, id mill.TaskID, task *jobs.Task) {
+	if task.Phase != jobs.TaskPlaced {
+		return
 	}
-}
 
-func (s *Scheduler) inheritTask(job *jobs.Job, id mill.TaskID, task *jobs.Task, gang *jobs.GangRun) {
 	step := &job.Work.Steps[id.Step]
 	r := &run{
 		task:       id,
@@ -191,10 +184,14 @@
 		reserves:   step.Reserves(),
 		phase:      runInherited,
 		checkpoint: task.Checkpoint,
-		gang:       gang,
 
 		earlierSuspicion: task.Suspicion,
 	}
+
+	if step.Gang {
+		s.joinGang(r, job, &job.Occurrences[id.Occurrence].Steps[id.Step])
+	}
+
 	s.runs[id] = r
 	r.worker.mayHoldInherited = true
 	r.worker.add(r)
@@ -367,6 +364,7 @@
 	s.withdrawStarts(now)
 
 	actions.Commands = s.finishCommands(now)
+	s.recordFailedGangs(now)
 }
 
 // expireRuns finishes the runs of workers that have certainly stopped, or whose leases have all
@@ -456,8 +454,10 @@
 	commands := make([]jobs.Command, 0, len(s.finished))
 
 	for _, f := range s.finished {
-		s.updateHealth(f, now)
-		s.addEvent(EventFinish, f.run, string(f.cause))
+		if !f.recorded {
+			s.updateHealth(f, now)
+			s.addEvent(EventFinish, f.run, string(f.cause))
+		}
 
 		commands = append(commands, jobs.Command{Finish: f.command()})
 	}
@@ -467,11 +467,17 @@
 	return commands
 }
 
-// recordRunTime updates the run time estimates and the worker's slowness with a run that was executed
-// from the beginning.
+// recordRunTime updates the run time estimates and the worker's slowness, or that of a gang's workers, with a run that was
+// executed from the beginning.
 func (s *Scheduler) recordRunTime(r *run, took time.Duration) {
 	if s.estimates.HasHistory(r.queue) {
-		r.worker.slowness.Record(took, s.estimates.Correct(r.queue, r.step.Estimate))
+		expected := s.estimates.Correct(r.queue, r.step.Estimate)
+
+		if r.gang != nil {
+			plan.RecordGangRun(r.gang.slownesses, took, expected)
+		} else {
+			r.worker.slowness.Record(took, expected)
+		}
 	}
 
 	s.estimates.Record(r.queue, took, r.step.Estimate)
@@ -485,14 +491,16 @@
 	switch f.cause {
 	case mill.FinishDone:
 		health.RecordSuccess()
-		s.failureRates.Record(f.run.queue, false)
-
-		if !f.run.startedAt.IsZero() && f.run.resumeFrom == "" {
-			s.recordRunTime(f.run, now.Sub(f.run.startedAt))
-		}
+		s.recordSuccess(f.run, now)
 	case mill.FinishFailed:
 		health.DelayTry(now)
 
+		if f.run.gang != nil {
+			s.gangMemberFailed(f.run, now)
+
+			return
+		}
+
 		// A task that has failed before, probably elsewhere, says nothing about this worker.
 		if !f.run.failedBefore {
 			health.RecordFailure(f.run.task.Job, s.failureRates.FailureWeight(f.run.queue), now)
@@ -502,3 +510,21 @@
 	default:
 	}
 }
+
+// recordSuccess records a successful run in the queue's failure rate and the run time estimates, a gang's with its first
+// member.
+func (s *Scheduler) recordSuccess(r *run, now time.Time) {
+	if r.gang != nil {
+		if r.gang.done {
+			return
+		}
+
+		r.gang.done = true
+	}
+
+	s.failureRates.Record(r.queue, false)
+
+	if !r.startedAt.IsZero() && r.resumeFrom == "" {
+		s.recordRunTime(r, now.Sub(r.startedAt))
+	}
+}
