--- a/internal/jobs/builds_fuzz_test.go
+++ b/internal/jobs/builds_fuzz_test.go
@@ -38,6 +38,13 @@
 	cause mill.FinishCause
 }
 
+// knownRun is the run of a gang that a leader knows.
+type knownRun struct {
+	*GangRun
+
+	number int
+}
+
 // proposed is a command that is not committed yet.
 type proposed struct {
 	command Command
@@ -60,7 +67,7 @@
 	// gangs that it knows.
 	earlierLeads bool
 	read         map[mill.RunRef]bool
-	gangs        map[mill.StepID]*GangRun
+	gangs        map[mill.StepID]*knownRun
 	// ended counts the failed attempts by the ends of workers, and noted by those that are committed. ownFailures counts the
 	// committed ones of each member, as far as the replica can know them.
 	ended       oracle.Attempts
@@ -82,7 +89,7 @@
 			queue:       make(map[string]string),
 			active:      make(map[mill.TaskID]int),
 			read:        make(map[mill.RunRef]bool),
-			gangs:       make(map[mill.StepID]*GangRun),
+			gangs:       make(map[mill.StepID]*knownRun),
 			ownFailures: make(map[mill.TaskID]int),
 			uncertain:   make(map[string]bool),
 
@@ -174,7 +181,7 @@
 		}
 	}
 
-	b.gangs[id] = NewGangRun(job, id, number)
+	b.gangs[id] = &knownRun{GangRun: NewGangRun(job, id, number), number: number}
 
 	for index := range b.members(id) {
 		task := id.Task(index)
@@ -240,7 +247,7 @@
 }
 
 func (b *builds) readListed(end gangEnd) {
-	if known := b.gangs[end.run.Task.StepID]; b.read[end.run] || known == nil || known.Number() != end.run.Run {
+	if known := b.gangs[end.run.Task.StepID]; b.read[end.run] || known == nil || known.number != end.run.Run {
 		return
 	}
 
@@ -357,7 +364,7 @@
 		for _, gang := range gangsOf(id, &job.Work) {
 			for index := range job.Work.Steps[gang.Step].Count {
 				if _, task := job.Task(gang.Task(index)); task != nil && task.Phase == TaskPlaced {
-					b.gangs[gang] = NewGangRun(job, gang, task.Run)
+					b.gangs[gang] = &knownRun{GangRun: NewGangRun(job, gang, task.Run), number: task.Run}
 				}
 			}
 		}
--- a/internal/jobs/gang_run.go
+++ b/internal/jobs/gang_run.go
@@ -11,7 +11,6 @@
 // else. So the leader decides: it commits one member's run as failed, and the others as ended with it. The zero value leaves
 // all ends as they are.
 type GangRun struct {
-	number int
 	// limit is the number of failed attempts after which the job fails, and attempts that of the earlier runs.
 	limit    int
 	attempts int
@@ -27,7 +26,7 @@
 
 // NewGangRun returns what the state shows of a run of a gang.
 func NewGangRun(job *Job, id mill.StepID, number int) *GangRun {
-	g := &GangRun{number: number, limit: job.Queue.MaxAttempts, counts: noMember}
+	g := &GangRun{limit: job.Queue.MaxAttempts, counts: noMember}
 	if job.Work.Steps[id.Step].LongRunning {
 		g.limit = 0 // Its runs may fail at any time.
 	}
@@ -48,11 +47,6 @@
 	return g
 }
 
-// Number returns the number of the run.
-func (g *GangRun) Number() int {
-	return g.number
-}
-
 // Amend makes the end of a member's run one to commit. An end that is proposed again counts as it did before.
 func (g *GangRun) Amend(finished *Finish) {
 	if g.limit <= 0 {
