Judge all members of a gang at the first stall of one

A hung worker could be spared: if a sound member reached the limit first, its worker was not quarantined because its other tasks progress, the gang was stopped, and the hung member was never judged. Now all members are judged at the first stall.

--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -345,9 +345,23 @@
 		s.stopRun(r)
 		s.addEvent(EventStalled, r, "")
 
-		// All members of a gang stand still if the worker of one hangs.
-		if !r.step.Gang || !r.worker.progresses(now) {
-			r.worker.health.Quarantine(now)
+		s.blameForStall(r, now)
+	}
+}
+
+// blameForStall quarantines the worker of a run that stands still. If it is a member of a gang, all members do, because the
+// worker of one hangs: those on which other runs progress do not.
+func (s *Scheduler) blameForStall(r *run, now time.Time) {
+	if r.gang == nil {
+		r.worker.health.Quarantine(now)
+
+		return
+	}
+
+	for index := range r.gang.members {
+		member, ok := s.runs[r.task.Task(index)]
+		if ok && member.gang == r.gang && member.phase == runStarted && !member.worker.progresses(now) {
+			member.worker.health.Quarantine(now)
 		}
 	}
 }
