--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -141,8 +141,10 @@
 		}
 	}
 
-	if c.step.Gang && c.fitsWithoutFailed(allowed) {
-		return s.avoidForGang(c, now)
+	if c.step.Gang {
+		if failed := c.failedWorkers(); c.fitsWithout(failed, allowed) {
+			return s.avoidForGang(c, failed, now)
+		}
 	}
 
 	return func(index int, id string) bool {
@@ -157,24 +159,33 @@
 
 // avoidForGang returns a function that reports whether no member of a gang should go to a worker because one has failed
 // there: they fail together.
-func (s *Scheduler) avoidForGang(c *candidate, now time.Time) func(index int, worker string) bool {
+func (s *Scheduler) avoidForGang(
+	c *candidate, failed map[string]bool, now time.Time,
+) func(index int, worker string) bool {
 	if now.Sub(s.waitingSince(c.id.Task(c.waiting[0]), now)) > maxAvoidTime {
 		return nil
 	}
 
-	var failedOn []string
+	return func(_ int, worker string) bool { return failed[worker] }
+}
+
+// failedWorkers returns the workers on which a waiting task has failed.
+func (c *candidate) failedWorkers() map[string]bool {
+	failed := make(map[string]bool)
 
 	for _, index := range c.waiting {
-		failedOn = append(failedOn, c.state.Tasks[index].FailedOn...)
+		for _, worker := range c.state.Tasks[index].FailedOn {
+			failed[worker] = true
+		}
 	}
 
-	return func(_ int, worker string) bool { return slices.Contains(failedOn, worker) }
+	return failed
 }
 
-// fitsWithoutFailed reports whether a gang could be placed on the workers on which no member has failed if they were empty,
-// on one rack if it should be and there is such a rack.
-func (c *candidate) fitsWithoutFailed(workers []*worker) bool {
-	others := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return c.failedOn(w.status.ID) })
+// fitsWithout reports whether a gang could be placed on other workers than those that have failed it if they were empty, on
+// one rack if it should be and there is such a rack.
+func (c *candidate) fitsWithout(failed map[string]bool, workers []*worker) bool {
+	others := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return failed[w.status.ID] })
 
 	return c.fitsIfEmpty(others, c.step.SameRack && c.fitsIfEmpty(workers, true))
 }
