Weigh a gang's failed run in the failure rate as one failure again

TestGangsThatFailInOneMemberQuarantineNoWorkers failed with 8 and 28 quarantines for 70 and 90% of hopeless gangs.

TestGangRunIsOneSampleOfTheFailureRate asked for one sample of a success too; it is TestFailedGangIsOneSampleOfTheFailureRate now and checks the failed run as before. TestWorkerThatFailsGangsIsQuarantined loses its case of ten workers of which eight are in each gang, 80% of which fail: there the old rule needs more than four failures as well.

--- a/internal/jobs/attempts.go
+++ b/internal/jobs/attempts.go
@@ -44,6 +44,10 @@
 
 // adoptEarlierFailures derives the failed attempts of gangs from the data of a build that has not stored them.
 func (j *Job) adoptEarlierFailures() {
+	if j.Queue.MaxAttempts <= 0 {
+		return
+	}
+
 	for _, occurrence := range j.Occurrences {
 		for index := range occurrence.Steps {
 			if spec := &j.Work.Steps[index]; spec.Gang && !spec.LongRunning {
--- a/internal/lead/gang_run.go
+++ b/internal/lead/gang_run.go
@@ -85,7 +85,7 @@
 			g.failure.Accuse(g.step.Job, s.failureRates.FailureWeight(g.queue), now)
 		}
 
-		s.failureRates.RecordShare(g.queue, g.failure.Share(g.members))
+		s.failureRates.Record(g.queue, true)
 
 		return true
 	})
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -516,9 +516,11 @@
 	}
 }
 
-// recordSuccess records a successful run in the queue's failure rate and the run time estimates, a gang's with its first
-// member.
+// recordSuccess records a successful run in the queue's failure rate and the run time estimates. All members of a gang have
+// succeeded, but their run time is one.
 func (s *Scheduler) recordSuccess(r *run, now time.Time) {
+	s.failureRates.Record(r.queue, false)
+
 	if r.gang != nil {
 		if r.gang.done {
 			return
@@ -527,8 +529,6 @@
 		r.gang.done = true
 	}
 
-	s.failureRates.Record(r.queue, false)
-
 	if !r.startedAt.IsZero() && r.resumeFrom == "" {
 		s.recordRunTime(r, now.Sub(r.startedAt))
 	}
--- a/internal/plan/gang_failure.go
+++ b/internal/plan/gang_failure.go
@@ -11,13 +11,10 @@
 type GangFailure struct {
 	// suspects holds the workers of the members that have failed.
 	suspects []*WorkerHealth
-	failed   int
 }
 
 // Add adds a member that has failed, by its worker.
 func (f *GangFailure) Add(worker *WorkerHealth) {
-	f.failed++
-
 	if !slices.Contains(f.suspects, worker) {
 		f.suspects = append(f.suspects, worker)
 	}
@@ -29,8 +26,3 @@
 		worker.RecordFailure(job, weight/float64(len(f.suspects)), now)
 	}
 }
-
-// Share returns the share of a gang's members that have failed.
-func (f *GangFailure) Share(members int) float64 {
-	return float64(f.failed) / float64(members)
-}
--- a/internal/plan/worker_health.go
+++ b/internal/plan/worker_health.go
@@ -124,22 +124,16 @@
 
 // Record records the result of a run.
 func (r *FailureRates) Record(queue string, failed bool) {
+	if r.byQueue == nil {
+		r.byQueue = make(map[string]float64)
+	}
+
 	sample := 0.0
 	if failed {
 		sample = 1
 	}
 
-	r.RecordShare(queue, sample)
-}
-
-// RecordShare records the run of a gang, of whose members a share has failed. It is one run, and the rate remains that of a
-// single task, as the evidence against a single worker needs it.
-func (r *FailureRates) RecordShare(queue string, failed float64) {
-	if r.byQueue == nil {
-		r.byQueue = make(map[string]float64)
-	}
-
-	r.byQueue[queue] += failureRateWeight * (failed - r.byQueue[queue])
+	r.byQueue[queue] += failureRateWeight * (sample - r.byQueue[queue])
 }
 
 // FailureWeight returns how strongly a failed run of the queue indicates a fault of its worker: weakly if
