--- a/internal/jobs/outcome.go
+++ b/internal/jobs/outcome.go
@@ -17,7 +17,7 @@
 	ReasonCrashes OutcomeReason = "workersCrashed"
 )
 
-// maxOutcomes bounds the outcomes that wait to be taken; further ones are dropped.
+// maxOutcomes bounds the outcomes that wait to be taken; further ones are dropped. One log entry decides fewer.
 const maxOutcomes = 1024
 
 // Outcome describes how a job has ended and what decided it, for logs.
--- a/internal/lead/gang_run.go
+++ b/internal/lead/gang_run.go
@@ -9,8 +9,8 @@
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
-// gangVerdictDelay bounds how long the evidence of a gang's failed run waits for the ends of the other members, whose
-// workers may be silent. A member that fails later adds nothing to it.
+// gangVerdictDelay bounds how long the evidence of a gang's failed run waits for the ends of the other members: the time in
+// which workers that answer stop them and list their ends. A member that fails later adds nothing to it.
 const gangVerdictDelay = time.Second
 
 // gangRun is what the members of one run of a gang share. They work only together, so that they succeed or fail once.
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -344,7 +344,6 @@
 	if r.phase == runStarted && !r.stopping && now.Sub(r.progressAt) > limit {
 		s.stopRun(r)
 		s.addEvent(EventStalled, r, "")
-
 		s.blameForStall(r, now)
 	}
 }
