--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -26,6 +26,10 @@
 	Work  mill.Workload `cbor:"3,keyasint"`
 	// UnixMilli is when the proposer received the job, by its wall clock.
 	UnixMilli int64 `cbor:"4,keyasint"`
+	// Tenant is the name of the tenant that the job belongs to; "" for none.
+	Tenant string `cbor:"5,keyasint,omitempty"`
+	// BeyondShare means that the tenant had submitted more than its share when the job was accepted.
+	BeyondShare bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Cancel cancels a job; it has no effect on a finished one.
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -126,6 +126,10 @@
 	CompleteOccurrences int `cbor:"10,keyasint,omitempty"`
 	// Placed is the number of tasks whose runs may be active.
 	Placed int `cbor:"11,keyasint,omitempty"`
+	// Tenant is the name of the tenant that the job belongs to; "" for none.
+	Tenant string `cbor:"13,keyasint,omitempty"`
+	// BeyondShare means that the tenant had submitted more than its share when the job was accepted.
+	BeyondShare bool `cbor:"14,keyasint,omitempty"`
 }
 
 // State returns the job's state as callers see it.
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -17,6 +17,8 @@
 	stored snapshot
 	// open holds the jobs that are not finished or have a run that may be active.
 	open map[string]*Job
+	// index is that of the setup in force.
+	index *mill.SetupIndex
 	// outcomes holds the outcomes that were decided since the last call of TakeOutcomes. They are not stored.
 	outcomes []Outcome
 }
@@ -40,9 +42,15 @@
 	return &State{
 		stored: snapshot{Jobs: make(map[string]*Job), Workers: make(map[string]*mill.WorkerStatus)},
 		open:   make(map[string]*Job),
+		index:  &mill.SetupIndex{},
 	}
 }
 
+// SetupIndex returns the index of the setup in force; it is empty before there is one.
+func (s *State) SetupIndex() *mill.SetupIndex {
+	return s.index
+}
+
 // Setup returns the setup in force, or nil if there is none yet.
 func (s *State) Setup() *mill.Setup {
 	return s.stored.Setup
@@ -116,6 +124,10 @@
 		}
 	}
 
+	if next.stored.Setup != nil {
+		next.index = mill.NewSetupIndex(next.stored.Setup)
+	}
+
 	if next.stored.Jobs == nil {
 		next.stored.Jobs = make(map[string]*Job)
 	}
@@ -143,6 +155,7 @@
 	}
 
 	s.stored.Setup = setup
+	s.index = mill.NewSetupIndex(setup)
 
 	return ResultApplied
 }
@@ -156,7 +169,7 @@
 		return ResultNoQueue
 	}
 
-	queue, ok := s.stored.Setup.Queue(submit.Queue)
+	queue, ok := s.index.Queue(submit.Queue)
 	if !ok {
 		return ResultNoQueue
 	}
@@ -169,6 +182,9 @@
 		Work:      submit.Work,
 		UnixMilli: submit.UnixMilli,
 		Sequence:  s.stored.Sequence,
+
+		Tenant:      submit.Tenant,
+		BeyondShare: submit.BeyondShare,
 	}
 
 	if job.Work.Repeat.Times == 0 {
--- a/internal/wire/codes.go
+++ b/internal/wire/codes.go
@@ -23,6 +23,8 @@
 	mill.ErrNotFound,
 	mill.ErrNoUpstream,
 	mill.ErrNoQueue,
+	mill.ErrUnauthenticated,
+	mill.ErrForbidden,
 }
 
 // withCode marks an error with the code of the sentinel it wraps.
--- a/pkg/mill/cluster.go
+++ b/pkg/mill/cluster.go
@@ -35,6 +35,10 @@
 	VerdictRefused
 	// VerdictNoQueue means that no queue matches the request.
 	VerdictNoQueue
+	// VerdictUnauthenticated means that no tenant has the call's key.
+	VerdictUnauthenticated
+	// VerdictForbidden means that the key's tenant may not make the call.
+	VerdictForbidden
 )
 
 // Receipt is the reply to a submission.
--- a/pkg/mill/errors.go
+++ b/pkg/mill/errors.go
@@ -22,6 +22,10 @@
 	ErrNotFound = merry.Sentinel("not found")
 	// ErrNoQueue is returned when no queue matches a request.
 	ErrNoQueue = merry.Sentinel("no such queue")
+	// ErrUnauthenticated is returned for a call without the key of a tenant.
+	ErrUnauthenticated = merry.Sentinel("no tenant has this key")
+	// ErrForbidden is returned for a call with the key of a tenant that may not make it.
+	ErrForbidden = merry.Sentinel("the job belongs to another tenant")
 	// ErrCorrupt is returned when stored records fail their checksum before the tail.
 	ErrCorrupt = merry.Sentinel("corrupt log")
 	// ErrLocked is returned when another process holds the data folder.
--- a/pkg/mill/setup.go
+++ b/pkg/mill/setup.go
@@ -27,6 +27,8 @@
 	Timeout time.Duration
 	// Advice is nil for a queue whose tasks may run on any worker of the service.
 	Advice *AdvicePolicy
+	// Public queues take calls without a tenant's key.
+	Public bool `cbor:",omitempty"`
 }
 
 // AdvicePolicy is the time that a request for advice takes, as a base and an amount per worker, and
@@ -68,6 +70,8 @@
 	Queues   []Queue
 	Services []Service
 	Limits   CallLimits
+	// Tenants is empty where callers need no keys.
+	Tenants []Tenant `cbor:",omitempty"`
 	// Document is the setup as the operator sent it, unparsed.
 	Document []byte
 }
