Have a leader ignore its own join request

Callers lost two leaders in a row after a power loss with two emptied disks, 4 s without answers. A candidate also sends join requests, since its membership may be old. Its followers forwarded a late one back to it when it led. It then tracked itself as a follower that never answers: it stepped down where just a majority was left, and after two seconds removed itself from the voters in favor of the learner. The new test fails without the fix, at once.

--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -153,7 +153,8 @@
 // forwardJoin forwards a join request to the leader, which the sender may not
 // know. A request is forwarded once only.
 func (n *Node) forwardJoin(message *Message) {
-	if message.To != "" || n.leader.Identity == "" || n.leader.Identity == n.self.Identity {
+	if message.To != "" || n.leader.Identity == "" || n.leader.Identity == n.self.Identity ||
+		n.leader.Identity == message.From.Identity {
 		return
 	}
 
@@ -170,7 +171,8 @@
 		return
 	}
 
-	if n.progress.find(message.From.Identity) != nil {
+	// A leader's own request, which it sent as a candidate, may arrive late.
+	if message.From.Identity == n.self.Identity || n.progress.find(message.From.Identity) != nil {
 		return
 	}
 
--- a/internal/raft/membership_test.go
+++ b/internal/raft/membership_test.go
@@ -272,3 +272,27 @@
 	membership := c.servers[c.leaders()[0]].node.Membership()
 	assert.Assert(t, membership.Has(c.servers[lost].disk.Identity()), "%v", membership.Servers)
 }
+
+// TestLeaderIgnoresItsOwnJoinRequest guards against a leader that treats itself as a follower which never answers: it stepped
+// down while just a majority was left, and else removed itself from the voters. A candidate's join request may reach it late.
+func TestLeaderIgnoresItsOwnJoinRequest(t *testing.T) {
+	c := newCluster(t, "a", "b", "c", "d", "e", "f")
+	c.rounds(4 * healRounds)
+
+	leader := c.leaders()[0]
+	term := c.servers[leader].node.Term()
+
+	for _, name := range c.names {
+		s := c.servers[name]
+		s.node.Step(Message{Kind: KindJoin, From: c.serverOf(c.servers[leader])})
+		c.processOutput(s)
+	}
+
+	c.rounds(2 * unreachableTicks)
+
+	assert.DeepEqual(t, c.leaders(), []string{leader})
+	assert.Equal(t, c.servers[leader].node.Term(), term, "the leader has been replaced without a fault")
+
+	members := c.servers[leader].node.Membership()
+	assert.Assert(t, members.Has(c.servers[leader].disk.Identity()), "the leader has removed itself from the voters")
+}
