--- a/internal/lead/advice_reserve.go
+++ b/internal/lead/advice_reserve.go
@@ -18,12 +18,8 @@
 // When far more steps wait than the advisor can be asked about, looking for capacity for all of them
 // would use up the process's CPU time, so only those whose request is due soon are considered.
 func (s *Scheduler) reserveForAdvice(c *candidate, p *pass) {
-	if !c.advice.requestPending {
-		if p.reservationsLeft == 0 || !c.canRequestAdvice(p.now) {
-			return
-		}
-
-		p.reservationsLeft--
+	if !c.advice.requestPending && !p.takeReservation(c) {
+		return
 	}
 
 	workers := s.adviceTargets(c, p)
@@ -36,6 +32,23 @@
 	s.reserveOn(c, count, workers, func(w *worker) bool { return c.notRefused(w, p.now) })
 }
 
+// takeReservation reports whether the pass may look for capacity for a step before the advisor is asked about it. Steps with
+// quick advice don't count: behind a backlog of others they would wait until they are overdue, although some addresses are
+// kept free for them.
+func (p *pass) takeReservation(c *candidate) bool {
+	if !c.canRequestAdvice(p.now) {
+		return false
+	}
+
+	if c.hasQuickAdvice() {
+		return true
+	}
+
+	p.reservationsLeft--
+
+	return p.reservationsLeft >= 0
+}
+
 // reserveOn reserves capacity for a number of tasks on those workers that pass the filter, and reports whether the step
 // fits on them.
 func (s *Scheduler) reserveOn(c *candidate, count int, among []*worker, filter func(w *worker) bool) bool {
