--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -29,6 +29,8 @@
 	// Seeds are addresses of core processes.
 	Seeds   []string
 	Advisor mill.Advisor
+	// Client calls the core processes; nil is a client that dials TCP.
+	Client *wire.Client
 	// Scope creates the metrics; nil disables them.
 	Scope tally.Scope
 }
@@ -44,9 +46,13 @@
 
 // New returns a process that is not running yet.
 func New(config Config) *Front {
+	if config.Client == nil {
+		config.Client = wire.NewClient()
+	}
+
 	return &Front{
 		config:       config,
-		leaderClient: core.NewLeaderClient(wire.NewClient(), config.Seeds, config.Address),
+		leaderClient: core.NewLeaderClient(config.Client, config.Seeds, config.Address),
 		metrics:      newMetrics(config.Scope),
 	}
 }
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -37,15 +37,20 @@
 func NewClient() *Client {
 	dialer := Dialer()
 
+	return NewClientWithDial(func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	})
+}
+
+// NewClientWithDial returns a client that opens its connections with the given function.
+func NewClientWithDial(dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
 	return &Client{
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleTimeout,
 			Capacity:    idleConnections,
 			KeyCapacity: idleConnectionsPerPeer,
 		}),
-		dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		},
+		dial: dial,
 	}
 }
 
