Keep contact with the leader independent of the setup's size

Cause: core.Follow returned the leader together with the whole setup, twice its document's size, within 1.3 s. On a link of 1.5 Mbit/s that reply never completes, each attempt started over and dropped the known leader.

Change: core.Contact has a few hundred bytes: leader, term, members, version and limits. Entries get no setups at all; calls are looked up by the leader anyway. core.Follow answers entries of the earlier build with version and limits alone; a process that does not know core.Contact is asked by core.Follow, for 10 s at a time. A known leader is kept unless it is unreachable, says that it does not lead, or is silent for an attempt in which it has answered no other call. Only one goroutine of a process searches, and asks the next process after 200 ms, so that several silent ones do not add up. The long poll also ends when the leader changes. A read is refused after 2 s of outage even if it may have arrived, and a cancellation is retried until its deadline. A large submission gets the time that its text takes on a narrow link.

Lost and regained leaders are logged once each, and contacts are counted by result.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -28,6 +28,7 @@
 	wire.Handle(server, MethodSetup, c.setup)
 	wire.Handle(server, MethodWave, c.wave)
 	wire.Handle(server, MethodWaveState, c.waveState)
+	wire.Handle(server, MethodContact, c.contact)
 	wire.Handle(server, MethodFollow, c.follow)
 	wire.Handle(server, MethodAdvise, NewAdviseHandler(c.config.Advisor))
 
@@ -108,58 +109,6 @@
 	return reply, nil
 }
 
-func (c *Core) follow(ctx context.Context, request *FollowRequest) (*FollowReply, error) {
-	if runner := c.runner.Load(); runner != nil && request.Advisor != "" {
-		runner.AdvisorReachable(request.Advisor)
-		c.clocks.observe(request.Advisor, request.UnixMilli, time.Now())
-
-		if c.relaySender != nil && request.RelayFor != "" {
-			c.relaySender.Add(request.Advisor, request.RelayFor, time.Now())
-		}
-	}
-
-	timer := time.NewTimer(min(time.Duration(request.WaitMilli)*time.Millisecond, longPollTimeout))
-	defer timer.Stop()
-
-	for {
-		changed := c.setupChange()
-		reply := c.followReply(request.Version)
-
-		if reply.Setup != nil || reply.Leader != c.config.Address {
-			return reply, nil
-		}
-
-		select {
-		case <-changed:
-		case <-timer.C:
-			return c.followReply(request.Version), nil
-		case <-ctx.Done():
-			return reply, nil
-		}
-	}
-}
-
-func (c *Core) followReply(version uint64) *FollowReply {
-	role := c.role()
-	reply := &FollowReply{Leader: role.Leader.Address, Term: role.Term}
-
-	if role.Leading && c.runner.Load() == nil {
-		reply.Leader = ""
-	}
-
-	for _, server := range role.Members.Servers {
-		reply.Members = append(reply.Members, server.Address)
-	}
-
-	c.stateMachine.view(func(state *jobs.State) {
-		if setup := state.Setup(); setup != nil && setup.Version > version {
-			reply.Setup = setup
-		}
-	})
-
-	return reply
-}
-
 func (c *Core) receiveUpdates(_ context.Context, batch *drive.Batch[WorkerUpdate]) (*drive.Receipt, error) {
 	now := time.Now()
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,11 +82,14 @@
 	// notifiedTerm is the latest term whose leader was sent all recent worker statuses.
 	notifiedTerm uint64
 
-	mu           sync.Mutex
-	setupChanged chan struct{}
+	// announced is what the processes in contact with this one were told last.
+	announced announcement
+
+	mu sync.Mutex
+	// contactChanged is closed and replaced when the setup or the leader changes.
+	contactChanged chan struct{}
 	// seeds are the addresses that were set last.
-	seeds        []string
-	setupVersion atomic.Uint64
+	seeds []string
 }
 
 var _ mill.Control = (*Core)(nil)
@@ -110,15 +113,16 @@
 	}
 
 	c := &Core{
-		config:       config,
-		client:       wire.NewClient(),
-		storage:      storage,
-		setupChanged: make(chan struct{}),
-		seeds:        config.Seeds,
-		placer:       place.Pack{},
+		config:         config,
+		client:         wire.NewClient(),
+		storage:        storage,
+		contactChanged: make(chan struct{}),
+		seeds:          config.Seeds,
+		placer:         place.Pack{},
 	}
 	c.stateMachine = newStateMachine(func() bool { return c.runner.Load() != nil }, config.Scope)
 	c.leaderClient = NewLeaderClient(c.client, config.Seeds, config.Address)
+	c.leaderClient.SetScope(config.Scope)
 	c.commitLatency = newCommitHistogram(config.Scope)
 
 	c.pool, err = ants.NewPool(maxConcurrentCalls, ants.WithNonblocking(true))
@@ -331,7 +335,7 @@
 }
 
 // onUpdate handles a change of role, sends the recent worker statuses to a new leader and
-// announces a new setup. It runs on the driver's goroutine.
+// announces a new setup or leader. It runs on the driver's goroutine.
 func (c *Core) onUpdate() {
 	role := c.role()
 
@@ -348,31 +352,13 @@
 		c.forwardAll()
 	}
 
-	if setup := c.stateMachine.state.Setup(); setup != nil && setup.Version > c.setupVersion.Load() {
-		c.setupVersion.Store(setup.Version)
-		c.notifySetupChange()
-	}
+	c.announceChange(&role)
 
 	if runner := c.runner.Load(); runner != nil {
 		runner.Wake()
 	}
 }
 
-func (c *Core) notifySetupChange() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	close(c.setupChanged)
-	c.setupChanged = make(chan struct{})
-}
-
-func (c *Core) setupChange() <-chan struct{} {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	return c.setupChanged
-}
-
 // becomeLeader starts scheduling in a term in which this process knows all that earlier
 // leaders have committed. That is known from the entry with which the node begins its term,
 // and not from a proposal, since after a restart with a long log one could be refused.
--- a/internal/core/leader_client.go
+++ b/internal/core/leader_client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/cranberrymill/cranberrymill/internal/drive"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
@@ -19,32 +20,55 @@
 	// attemptTimeout bounds one attempt of a call: long enough for a commit between regions
 	// on a slow disk, and short enough for several attempts within a caller's usual time limit.
 	attemptTimeout = 800 * time.Millisecond
-	// retryInterval is the pause before another process is asked for the leader.
+	// retryInterval is the pause before the leader is called again, or another process is asked for it.
 	retryInterval = 40 * time.Millisecond
-	// longPollTimeout is the longest time that the leader holds back its reply to a FollowRequest.
-	longPollTimeout = 500 * time.Millisecond
+	// minLinkRate is the rate in bytes per second that is expected of any link: 1.5 Mbit/s.
+	minLinkRate = 1_500_000 / 8
 )
 
-// LeaderClient finds and calls the leader of the core, and keeps the newest setup. It is used by
-// every process that is not, or may not be, the leader.
+// LeaderClient finds and calls the leader of the core, and stays in contact with it while Run runs. It is used by every
+// process that is not, or may not be, the leader.
 type LeaderClient struct {
 	client         *wire.Client
-	seeds          []string
 	advisorAddress string
 	relayFor       string
-	mu             sync.Mutex
-	leader         string
-	term           uint64
-	members        []string
-	setup          *mill.Setup
-	lastContact    time.Time
-	nextAddress    int
+	metrics        contactMetrics
+
+	mu    sync.Mutex
+	seeds []string
+	// leader is the leader's address, "" while none is known, and term its term.
+	leader string
+	term   uint64
+	// confirmed says that the leader has answered since it became known here.
+	confirmed    bool
+	members      []string
+	hasSetup     bool
+	setupVersion uint64
+	limits       mill.CallLimits
+	lastContact  time.Time
+	// lostAt is when contact with the leader was lost, or zero while there is contact.
+	lostAt time.Time
+	// endContact ends the contact that waits for the leader's reply.
+	endContact context.CancelFunc
+	// earlierBuild holds until when processes are asked by MethodFollow.
+	earlierBuild map[string]time.Time
+	nextAddress  int
 }
 
 // NewLeaderClient returns a client that starts from the seeds' addresses. advisor is the
 // address at which this process asks the advisor on behalf of others, or "".
 func NewLeaderClient(client *wire.Client, seeds []string, advisor string) *LeaderClient {
-	return &LeaderClient{client: client, seeds: seeds, advisorAddress: advisor, lastContact: time.Now()}
+	now := time.Now()
+
+	return &LeaderClient{
+		client: client, seeds: seeds, advisorAddress: advisor, metrics: newContactMetrics(nil),
+		lastContact: now, lostAt: now, endContact: func() {}, earlierBuild: make(map[string]time.Time),
+	}
+}
+
+// SetScope has the client count its contacts in the scope. It must be called before Run.
+func (c *LeaderClient) SetScope(scope tally.Scope) {
+	c.metrics = newContactMetrics(scope)
 }
 
 // OfferRelay has the client offer this process to the leader as a relay for orders to the workers of a data
@@ -61,23 +85,20 @@
 	c.seeds = slices.Clone(seeds)
 }
 
-// Run follows the setup and the leader until the context ends.
-func (c *LeaderClient) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if err := c.follow(ctx); err != nil {
-			drive.Pause(ctx, retryInterval)
-		}
-	}
+// Limits returns the limits of callers' requests, or false while no setup is known.
+func (c *LeaderClient) Limits() (mill.CallLimits, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 
-	return nil
+	return c.limits, c.hasSetup
 }
 
-// Setup returns the newest setup that this process has seen, or nil.
-func (c *LeaderClient) Setup() *mill.Setup {
+// SetupVersion returns the version of the newest setup that this process knows of, or 0.
+func (c *LeaderClient) SetupVersion() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return c.setup
+	return c.setupVersion
 }
 
 // LastContact returns the time of the leader's last reply, or of the client's creation.
@@ -93,87 +114,12 @@
 	return time.Since(c.LastContact())
 }
 
-func (c *LeaderClient) follow(ctx context.Context) error {
-	address, _ := c.target()
-
-	limit, cancel := context.WithTimeout(ctx, longPollTimeout+attemptTimeout)
-	defer cancel()
-
-	reply, err := wire.Call[FollowRequest, FollowReply](limit, c.client, address, MethodFollow, &FollowRequest{
-		Version:   c.version(),
-		Advisor:   c.advisorAddress,
-		RelayFor:  c.relayFor,
-		UnixMilli: time.Now().UnixMilli(),
-		WaitMilli: longPollTimeout.Milliseconds(),
-	})
-	if err != nil {
-		c.recordFailure(address)
-
-		return err
-	}
-
-	c.update(address, reply)
-
-	if reply.Leader == "" {
-		return merry.Prepend(mill.ErrUnavailable, "no leader is known", merry.NoCaptureStack())
-	}
-
-	return nil
-}
-
-func (c *LeaderClient) version() uint64 {
-	if setup := c.Setup(); setup != nil {
-		return setup.Version
-	}
-
-	return 0
-}
-
-func (c *LeaderClient) update(from string, reply *FollowReply) {
+// currentLeader returns the leader's address, "" while none is known, and its term.
+func (c *LeaderClient) currentLeader() (string, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if reply.Setup != nil && (c.setup == nil || reply.Setup.Version > c.setup.Version) {
-		c.setup = reply.Setup
-	}
-
-	if len(reply.Members) > 0 {
-		c.members = reply.Members
-	}
-
-	if reply.Leader == "" {
-		c.clearLeader(from)
-
-		return
-	}
-
-	if reply.Term >= c.term {
-		c.leader, c.term = reply.Leader, reply.Term
-	}
-
-	if from == reply.Leader {
-		c.lastContact = time.Now()
-	}
-}
-
-// target returns the leader's address and term, or the next known address in turn and 0
-// while no leader is known.
-func (c *LeaderClient) target() (string, uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	if c.leader != "" {
-		return c.leader, c.term
-	}
-
-	addresses := c.knownAddresses()
-	if len(addresses) == 0 {
-		return "", 0
-	}
-
-	c.nextAddress++
-
-	return addresses[c.nextAddress%len(addresses)], 0
+	return c.leader, c.term
 }
 
 // addresses returns the addresses of all core processes known here.
@@ -185,97 +131,92 @@
 }
 
 func (c *LeaderClient) knownAddresses() []string {
-	return append(slices.Clone(c.members), c.seeds...)
-}
+	addresses := slices.Clone(c.members)
 
-// recordFailure records that the process at the address did not serve a call.
-func (c *LeaderClient) recordFailure(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	for _, seed := range c.seeds {
+		if !slices.Contains(addresses, seed) {
+			addresses = append(addresses, seed)
+		}
+	}
 
-	c.clearLeader(address)
+	return addresses
 }
 
-func (c *LeaderClient) clearLeader(address string) {
-	if c.leader == address {
-		c.leader = ""
-	}
+// callKinds holds the kinds of calls that are not changes.
+var callKinds = map[string]plan.CallKind{
+	MethodState:     plan.CallRead,
+	MethodPending:   plan.CallRead,
+	MethodSetup:     plan.CallRead,
+	MethodWaveState: plan.CallRead,
+	MethodCancel:    plan.CallCancel,
 }
 
-// CallLeader calls the leader until it answers or the context ends. The request is
-// built for each attempt from the leader's term. The second result reports whether an
-// unanswered attempt may have reached a leader.
+// CallLeader calls the leader until it answers, the context ends or the kind of the call does not allow another attempt.
+// The request is built for each attempt from the leader's term. The second result reports whether an unanswered attempt may
+// have reached a leader. The client must run, since it finds the leader.
 func CallLeader[Request, Response any](
 	ctx context.Context, c *LeaderClient, method string, request func(term uint64) *Request,
 ) (response *Response, ambiguous bool, err error) {
 	for {
-		address, term := c.target()
-
-		if term > 0 {
-			response, err = callOnce[Request, Response](ctx, c, address, method, request(term))
+		if leader, term := c.currentLeader(); leader != "" {
+			response, err = callOnce[Request, Response](ctx, c, leader, method, request(term))
 			if err == nil || isDefinitive(err) {
 				return response, ambiguous, err
 			}
 
-			c.recordFailure(address)
-
 			ambiguous = ambiguous || !isNotExecuted(err)
 		}
 
-		if err = c.checkRetry(ctx, ambiguous); err != nil {
+		if err = c.checkRetry(ctx, callKinds[method], ambiguous); err != nil {
 			return nil, ambiguous, err
 		}
 
-		if term > 0 {
-			continue
-		}
-
-		if err = c.findLeader(ctx, address); err != nil {
-			drive.Pause(ctx, retryInterval)
-		}
+		drive.Pause(ctx, retryInterval)
 	}
 }
 
-// checkRetry returns why a call should not be retried, or nil. A call that may have reached a
-// leader is retried until its deadline, since its outcome is unknown.
-func (c *LeaderClient) checkRetry(ctx context.Context, ambiguous bool) error {
+// checkRetry returns why a call should not be retried, or nil.
+func (c *LeaderClient) checkRetry(ctx context.Context, kind plan.CallKind, ambiguous bool) error {
 	switch {
 	case ctx.Err() != nil:
 		return merry.Prepend(mill.ErrUnavailable, "no leader answered before the deadline", merry.NoCaptureStack())
-	case !ambiguous && !plan.ShouldWaitForLeader(c.outage()):
+	case !kind.ShouldRetry(c.outage(), ambiguous):
 		return merry.Prepend(mill.ErrUnavailable, "no leader has answered for too long", merry.NoCaptureStack())
 	default:
 		return nil
 	}
 }
 
-// findLeader asks a process for the leader.
-func (c *LeaderClient) findLeader(ctx context.Context, address string) error {
-	limit, cancel := context.WithTimeout(ctx, attemptTimeout)
+// callOnce makes one attempt of a call, and records what it says about the leader.
+func callOnce[Request, Response any](
+	ctx context.Context, c *LeaderClient, leader, method string, request *Request,
+) (*Response, error) {
+	limit, cancel := context.WithTimeout(ctx, attemptTimeout+transferTime(request))
 	defer cancel()
 
-	reply, err := wire.Call[FollowRequest, FollowReply](limit, c.client, address, MethodFollow,
-		&FollowRequest{Version: c.version()})
-	if err != nil {
-		return err
-	}
-
-	c.update(address, reply)
+	start := time.Now()
+	response, err := wire.Call[Request, Response](limit, c.client, leader, method, request)
 
-	if reply.Leader == "" {
-		return merry.Prepend(mill.ErrUnavailable, "no leader is known", merry.NoCaptureStack())
+	if err == nil || isDefinitive(err) {
+		c.mu.Lock()
+		c.recordReply(leader)
+		c.mu.Unlock()
+	} else if c.recordCallFailure(leader, start, err) {
+		// The leader is in contact but does not answer the call: a majority may have another one that it has not heard of.
+		go func() { _ = c.ask(context.WithoutCancel(ctx), c.nextProcess(), 0) }()
 	}
 
-	return nil
+	return response, err
 }
 
-func callOnce[Request, Response any](
-	ctx context.Context, c *LeaderClient, address, method string, request *Request,
-) (*Response, error) {
-	limit, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
+// transferTime returns how long a request takes on a narrow link, in addition to the time for an attempt. Submissions are
+// the only calls of callers that may be large: they hold a body of up to the limit in the setup.
+func transferTime(request any) time.Duration {
+	if submission, ok := request.(*SubmitRequest); ok {
+		return time.Duration(len(submission.Work.Spec)) * time.Second / minLinkRate
+	}
 
-	return wire.Call[Request, Response](limit, c.client, address, method, request)
+	return 0
 }
 
 // isDefinitive reports whether the error is the leader's answer to the call.
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -15,6 +15,7 @@
 	MethodSetup     = "core.Setup"
 	MethodWave      = "core.Wave"
 	MethodWaveState = "core.WaveState"
+	MethodContact   = "core.Contact"
 	MethodFollow    = "core.Follow"
 	MethodForward   = "core.PassOn"
 	MethodAdvise    = "core.Advise"
@@ -75,9 +76,10 @@
 // SetupRequest asks for the newest setup.
 type SetupRequest struct{}
 
-// FollowRequest asks a core process for the leader and for a setup newer than Version. The
-// leader holds its reply back for up to WaitMilli while there is none (long polling).
-type FollowRequest struct {
+// ContactRequest asks a core process for the leader, and registers the sender with it. The leader holds its reply back for
+// up to WaitMilli while there is no setup newer than Version (long polling).
+type ContactRequest struct {
+	// Version is that of the newest setup that the sender knows of.
 	Version uint64
 	// Advisor is the address at which the sender asks the advisor on the leader's behalf, or "".
 	Advisor string
@@ -89,15 +91,30 @@
 	WaitMilli int64
 }
 
-// FollowReply answers a FollowRequest.
-type FollowReply struct {
-	// Setup is nil when there is no newer one.
-	Setup *mill.Setup
+// ContactReply answers a ContactRequest. Its size does not depend on that of the setup.
+type ContactReply struct {
 	// Leader is the leader's address, "" while none is known, and Term its term.
 	Leader string
 	Term   uint64
 	// Members are the addresses of the group's members.
 	Members []string
+	// HasSetup says that there is a setup, with the version and the limits that follow.
+	HasSetup     bool
+	SetupVersion uint64
+	Limits       mill.CallLimits
+}
+
+// FollowRequest is the ContactRequest of the earlier build.
+type FollowRequest ContactRequest
+
+// FollowReply answers a FollowRequest.
+type FollowReply struct {
+	// Setup is nil when there is no newer one. It holds the version and the limits alone, but all when a process of the
+	// earlier build answers.
+	Setup   *mill.Setup
+	Leader  string
+	Term    uint64
+	Members []string
 }
 
 // WorkerUpdate is an update about a worker that a core process forwards to others.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -50,11 +50,14 @@
 		config.Client = wire.NewClient()
 	}
 
-	return &Front{
+	f := &Front{
 		config:       config,
 		leaderClient: core.NewLeaderClient(config.Client, config.Seeds, config.Address),
 		metrics:      newMetrics(config.Scope),
 	}
+	f.leaderClient.SetScope(config.Scope)
+
+	return f
 }
 
 // Run follows the core, and asks the advisor on its behalf, until the context ends.
@@ -78,17 +81,14 @@
 
 // Ready reports whether this process can serve callers.
 func (f *Front) Ready() bool {
-	return f.leaderClient.Setup() != nil && time.Since(f.leaderClient.LastContact()) < maxContactAge
+	_, configured := f.leaderClient.Limits()
+
+	return configured && time.Since(f.leaderClient.LastContact()) < maxContactAge
 }
 
 // Limits returns the limits of callers' requests, or false while there is no setup.
 func (f *Front) Limits() (mill.CallLimits, bool) {
-	setup := f.leaderClient.Setup()
-	if setup == nil {
-		return mill.CallLimits{}, false
-	}
-
-	return setup.Limits, true
+	return f.leaderClient.Limits()
 }
 
 // Submit submits a job to the leader.
@@ -97,7 +97,7 @@
 		return mill.Receipt{}, err
 	}
 
-	if f.leaderClient.Setup() == nil {
+	if _, configured := f.leaderClient.Limits(); !configured {
 		return mill.Receipt{Verdict: mill.VerdictRefused, Reason: "there is no setup yet"}, nil
 	}
 
--- a/internal/plan/outage_test.go
+++ b/internal/plan/outage_test.go
@@ -19,7 +19,7 @@
 
 	for arrived := time.Duration(0); arrived < 4*time.Second; arrived += 100 * time.Millisecond {
 		waited := time.Duration(0)
-		for waited < limit && ShouldWaitForLeader(arrived+waited) {
+		for waited < limit && CallChange.ShouldRetry(arrived+waited, false) {
 			waited += 10 * time.Millisecond
 		}
 
@@ -34,3 +34,17 @@
 	assert.Equal(t, refusedAtOnce, 20)
 	assert.Assert(t, RetryAfterOutage() > 0)
 }
+
+// TestCallsInAnOutage checks what becomes of calls in a long outage: a read ends, a change ends only if no leader can have
+// received it, and a cancellation goes on, since tasks would run on without it.
+func TestCallsInAnOutage(t *testing.T) {
+	for _, mayHaveArrived := range []bool{false, true} {
+		assert.Equal(t, CallRead.ShouldRetry(time.Minute, mayHaveArrived), false)
+		assert.Equal(t, CallChange.ShouldRetry(time.Minute, mayHaveArrived), mayHaveArrived)
+		assert.Equal(t, CallCancel.ShouldRetry(time.Minute, mayHaveArrived), true)
+
+		for _, kind := range []CallKind{CallRead, CallChange, CallCancel} {
+			assert.Assert(t, kind.ShouldRetry(time.Second, mayHaveArrived), "an election takes longer")
+		}
+	}
+}
