--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -29,6 +29,8 @@
 	// Seeds are addresses of core processes.
 	Seeds   []string
 	Advisor mill.Advisor
+	// Client calls the core processes; nil is a client that dials TCP.
+	Client *wire.Client
 	// Scope creates the metrics; nil disables them.
 	Scope tally.Scope
 }
@@ -44,11 +46,18 @@
 
 // New returns a process that is not running yet.
 func New(config Config) *Front {
-	return &Front{
+	if config.Client == nil {
+		config.Client = wire.NewClient()
+	}
+
+	f := &Front{
 		config:       config,
-		leaderClient: core.NewLeaderClient(wire.NewClient(), config.Seeds, config.Address),
+		leaderClient: core.NewLeaderClient(config.Client, config.Seeds, config.Address),
 		metrics:      newMetrics(config.Scope),
 	}
+	f.leaderClient.SetScope(config.Scope)
+
+	return f
 }
 
 // Run follows the core, and asks the advisor on its behalf, until the context ends.
@@ -72,17 +81,14 @@
 
 // Ready reports whether this process can serve callers.
 func (f *Front) Ready() bool {
-	return f.leaderClient.Setup() != nil && time.Since(f.leaderClient.LastContact()) < maxContactAge
+	_, configured := f.leaderClient.Limits()
+
+	return configured && time.Since(f.leaderClient.LastContact()) < maxContactAge
 }
 
 // Limits returns the limits of callers' requests, or false while there is no setup.
 func (f *Front) Limits() (mill.CallLimits, bool) {
-	setup := f.leaderClient.Setup()
-	if setup == nil {
-		return mill.CallLimits{}, false
-	}
-
-	return setup.Limits, true
+	return f.leaderClient.Limits()
 }
 
 // Submit submits a job to the leader.
@@ -91,7 +97,7 @@
 		return mill.Receipt{}, err
 	}
 
-	if f.leaderClient.Setup() == nil {
+	if _, configured := f.leaderClient.Limits(); !configured {
 		return mill.Receipt{Verdict: mill.VerdictRefused, Reason: "there is no setup yet"}, nil
 	}
 
