Check the API keys of tenants at the leader

A setup names tenants with keys, but every caller could submit, read and cancel every job. As for unknown queues, only a leader that has confirmed its leadership answers so.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -82,18 +82,12 @@
 		return nil, merry.Prepend(mill.ErrNotPrimary, "the request is for another term", merry.NoCaptureStack())
 	}
 
-	var (
-		id, queue string
-		known     bool
-	)
-
-	err := c.lookUp(ctx, func() error {
-		id, queue, known = c.resolveSubmission(request)
-		if queue == "" {
-			return merry.Prepend(mill.ErrNoQueue, request.Path, merry.NoCaptureStack())
-		}
+	var found submission
 
-		return nil
+	err := c.lookUp(ctx, func() (err error) {
+		found, err = c.resolveSubmission(request)
+
+		return err
 	})
 
 	switch {
@@ -101,65 +95,103 @@
 		return &SubmitReply{Receipt: mill.Receipt{Verdict: mill.VerdictNoQueue}}, nil
 	case err != nil:
 		return nil, err
-	case known:
+	case found.known:
 		return &SubmitReply{Receipt: mill.Receipt{Verdict: mill.VerdictAccepted}}, nil
 	default:
+		return c.commitSubmission(ctx, request, &found)
 	}
+}
+
+// submission is what a SubmitRequest means by the setup in force.
+type submission struct {
+	id     string
+	access access
+	// known means that the job was accepted before.
+	known bool
+}
+
+// resolveSubmission returns what a submission means, or ErrNoQueue, ErrUnauthenticated or ErrForbidden.
+func (c *Core) resolveSubmission(request *SubmitRequest) (found submission, err error) {
+	c.stateMachine.view(func(state *jobs.State) {
+		queue, id, ok := state.SetupIndex().Find(request.Host, request.Path)
+		if !ok || id == "" || strings.Contains(id, "/") {
+			err = merry.Prepend(mill.ErrNoQueue, request.Path, merry.NoCaptureStack())
+
+			return
+		}
+
+		found.id = id
+
+		if found.access, err = authenticate(state.SetupIndex(), queue, request.Key); err != nil {
+			return
+		}
+
+		var job *jobs.Job
+		if job, found.known = state.Job(id); found.known {
+			err = found.access.checkJob(job)
+		}
+	})
+
+	return found, err
+}
+
+// commitSubmission commits a new job.
+func (c *Core) commitSubmission(ctx context.Context, request *SubmitRequest, found *submission) (*SubmitReply, error) {
+	queue, tenant := found.access.queue.Name, found.access.tenant
 
 	results, err := c.commit(ctx, jobs.Command{Submit: &jobs.Submit{
-		Job:       id,
+		Job:       found.id,
 		Queue:     queue,
 		Work:      request.Work,
 		UnixMilli: c.clocks.medianUnixMilli(time.Now()),
+		Tenant:    tenant,
 	}})
 	if err != nil {
 		return nil, err
 	}
 
-	verdict := mill.VerdictAccepted
 	if results[0] == jobs.ResultNoQueue {
-		verdict = mill.VerdictNoQueue
+		return &SubmitReply{Receipt: mill.Receipt{Verdict: mill.VerdictNoQueue}}, nil
+	}
+
+	// Another tenant's submission of the same id may have been committed first.
+	if err := c.checkOwner(found); err != nil {
+		return nil, err
 	}
 
-	log.Info().Str("job", id).Str("queue", queue).Int("steps", len(request.Work.Steps)).Msg("job accepted")
+	log.Info().Str("job", found.id).Str("queue", queue).Str("tenant", tenant).Int("steps", len(request.Work.Steps)).
+		Msg("job accepted")
 
-	return &SubmitReply{Receipt: mill.Receipt{Verdict: verdict}}, nil
+	return &SubmitReply{Receipt: mill.Receipt{Verdict: mill.VerdictAccepted}}, nil
 }
 
-// resolveSubmission returns the job id and the queue of a submission, and whether the job
-// is already known. The queue is "" if none matches.
-func (c *Core) resolveSubmission(request *SubmitRequest) (id, queue string, known bool) {
-	c.stateMachine.view(func(state *jobs.State) {
-		if state.Setup() == nil {
-			return
-		}
+// checkOwner returns ErrForbidden if a submission's id is that of a job which its caller may not use.
+func (c *Core) checkOwner(found *submission) error {
+	var err error
 
-		found, rest, ok := state.Setup().Find(request.Host, request.Path)
-		if !ok || rest == "" || strings.Contains(rest, "/") {
-			return
+	c.stateMachine.view(func(state *jobs.State) {
+		if job, ok := state.Job(found.id); ok {
+			err = found.access.checkJob(job)
 		}
-
-		id, queue = rest, found.Name
-		_, known = state.Job(id)
 	})
 
-	return id, queue, known
+	return err
 }
 
-// withJob calls read with the job of a request, or returns ErrNoQueue or ErrNotFound.
+// withJob calls read with the job of a request, or returns ErrNoQueue, ErrUnauthenticated, ErrNotFound or ErrForbidden.
 func (c *Core) withJob(ctx context.Context, request *JobRequest, read func(job *jobs.Job)) error {
 	return c.lookUp(ctx, func() error { return c.readJob(request, read) })
 }
 
 // lookUp returns the result of looking something up in the state. Only a confirmed leader says that there is no such
-// thing: a later one may have accepted it.
+// thing, or that a key does not open it: a later leader may have accepted the thing or the key.
 func (c *Core) lookUp(ctx context.Context, find func() error) error {
 	if err := c.checkLeading(); err != nil {
 		return err
 	}
 
 	err := find()
-	if !errors.Is(err, mill.ErrNotFound) && !errors.Is(err, mill.ErrNoQueue) {
+	if !needsConfirmation(err) {
 		return err
 	}
 
@@ -170,6 +202,12 @@
 	return find()
 }
 
+// needsConfirmation reports whether an error says what a later leader may know to be wrong.
+func needsConfirmation(err error) bool {
+	return errors.Is(err, mill.ErrNotFound) || errors.Is(err, mill.ErrNoQueue) ||
+		errors.Is(err, mill.ErrUnauthenticated) || errors.Is(err, mill.ErrForbidden)
+}
+
 // readJob calls a function with the job that a request names, as this process knows it.
 func (c *Core) readJob(request *JobRequest, read func(job *jobs.Job)) error {
 	var err error
@@ -181,13 +219,18 @@
 			return
 		}
 
-		_, id, ok := state.Setup().Find(request.Host, request.Path)
+		queue, id, ok := state.SetupIndex().Find(request.Host, request.Path)
 		if !ok {
 			err = merry.Prepend(mill.ErrNoQueue, request.Path, merry.NoCaptureStack())
 
 			return
 		}
 
+		var granted access
+		if granted, err = authenticate(state.SetupIndex(), queue, request.Key); err != nil {
+			return
+		}
+
 		job, ok := state.Job(id)
 		if !ok {
 			err = merry.Prepend(mill.ErrNotFound, id, merry.NoCaptureStack())
@@ -195,7 +238,9 @@
 			return
 		}
 
-		read(job)
+		if err = granted.checkJob(job); err == nil {
+			read(job)
+		}
 	})
 
 	return err
@@ -244,14 +289,16 @@
 			return
 		}
 
-		queue, rest, ok := state.Setup().Find(request.Host, request.Path)
+		queue, rest, ok := state.SetupIndex().Find(request.Host, request.Path)
 		if !ok || rest != "" {
 			err = merry.Prepend(mill.ErrNoQueue, request.Path, merry.NoCaptureStack())
 
 			return
 		}
 
-		reply.Pending = state.Pending(queue.Name)
+		if _, err = authenticate(state.SetupIndex(), queue, request.Key); err == nil {
+			reply.Pending = state.Pending(queue.Name)
+		}
 	})
 
 	return err
--- a/internal/core/cancel_test.go
+++ b/internal/core/cancel_test.go
@@ -46,22 +46,22 @@
 
 	// A leader that has not noticed the loss yet would add the cancellation to its log.
 	cluster.eventually("notice the loss", func() error {
-		if _, err := cluster.front.State(callContext(), "h", "/q/first"); err == nil {
+		if _, err := cluster.front.State(callContext(), at("/q/first")); err == nil {
 			return errors.New("there is still a leader")
 		}
 
 		return nil
 	})
 
-	assert.ErrorIs(t, cluster.front.Cancel(callContext(), "h", "/q/first"), mill.ErrUnavailable)
+	assert.ErrorIs(t, cluster.front.Cancel(callContext(), at("/q/first")), mill.ErrUnavailable)
 	assert.Equal(t, cluster.worker.runs(), 3)
 
 	cluster.restart(1)
 	cluster.restart(2)
-	cluster.eventually("cancel", func() error { return cluster.front.Cancel(callContext(), "h", "/q/first") })
+	cluster.eventually("cancel", func() error { return cluster.front.Cancel(callContext(), at("/q/first")) })
 	cluster.expectRuns(0)
 	cluster.eventually("read", func() error {
-		state, err := cluster.front.State(callContext(), "h", "/q/first")
+		state, err := cluster.front.State(callContext(), at("/q/first"))
 		if err == nil && state != mill.JobCanceled {
 			t.Fatalf("the job is %s after its cancellation was acknowledged", state)
 		}
@@ -78,15 +78,20 @@
 	cluster.configure(0, 1)
 	cluster.submit("first", &mill.Workload{Spec: "first", Steps: []mill.Step{{Count: 1, Estimate: time.Second}}})
 
-	cluster.stop(1)
-	cluster.eventually("lead", func() error {
-		_, err := cluster.front.State(callContext(), "h", "/q/first")
+	cluster.stopOthers(at("/q/first"))
+
+	return cluster
+}
+
+// stopOthers stops all processes but the first once that leads and knows a job.
+func (c *testCluster) stopOthers(job mill.Target) {
+	c.stop(1)
+	c.eventually("lead", func() error {
+		_, err := c.front.State(callContext(), job)
 
 		return err
 	})
-	cluster.stop(2)
-
-	return cluster
+	c.stop(2)
 }
 
 // TestUnknownJobNeedsConfirmedLeader asks for a job that the remaining process does not know, right after it has lost the
@@ -94,7 +99,7 @@
 func TestUnknownJobNeedsConfirmedLeader(t *testing.T) {
 	cluster := newCutOffLeader(t)
 
-	_, err := cluster.front.State(callContext(), "h", "/q/none")
+	_, err := cluster.front.State(callContext(), at("/q/none"))
 	assert.Assert(t, !errors.Is(err, mill.ErrNotFound), err)
-	assert.Assert(t, !errors.Is(cluster.front.Cancel(callContext(), "h", "/q/none"), mill.ErrNotFound))
+	assert.Assert(t, !errors.Is(cluster.front.Cancel(callContext(), at("/q/none")), mill.ErrNotFound))
 }
--- a/internal/core/leader_client.go
+++ b/internal/core/leader_client.go
@@ -281,7 +281,7 @@
 // isDefinitive reports whether the error is the leader's answer to the call.
 func isDefinitive(err error) bool {
 	return errors.Is(err, mill.ErrInvalid) || errors.Is(err, mill.ErrNotFound) || errors.Is(err, mill.ErrNoQueue) ||
-		errors.Is(err, mill.ErrConflict)
+		errors.Is(err, mill.ErrConflict) || errors.Is(err, mill.ErrUnauthenticated) || errors.Is(err, mill.ErrForbidden)
 }
 
 // isNotExecuted reports whether the call has certainly not been executed.
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -28,9 +28,12 @@
 	Host string
 	Path string
 	Work mill.Workload
+	// Key is the tenant's key that the call carries, or "". Earlier builds neither send nor read it.
+	Key mill.APIKey `cbor:",omitempty"`
 }
 
-// SubmitReply answers a SubmitRequest.
+// SubmitReply answers a SubmitRequest. A submission without the key that it needs is answered by ErrUnauthenticated or
+// ErrForbidden and not by a verdict: entries of the earlier build send no keys and do not know these verdicts.
 type SubmitReply struct {
 	Receipt mill.Receipt
 }
@@ -39,6 +42,8 @@
 type JobRequest struct {
 	Host string
 	Path string
+	// Key is the tenant's key that the call carries, or "". Earlier builds neither send nor read it.
+	Key mill.APIKey `cbor:",omitempty"`
 }
 
 // StateReply answers a JobRequest that reads a job's state or cancels it.
--- a/internal/core/path_test.go
+++ b/internal/core/path_test.go
@@ -225,6 +225,11 @@
 	return ctx
 }
 
+// at returns the target of a call without a key.
+func at(path string) mill.Target {
+	return mill.Target{Host: "h", Path: path}
+}
+
 func (c *testCluster) configure(at int, version uint64) {
 	c.eventually("configure", func() error {
 		return c.cores[at].Configure(callContext(), &mill.Setup{
@@ -255,7 +260,7 @@
 
 func (c *testCluster) submit(id string, work *mill.Workload) {
 	c.eventually("submit", func() error {
-		receipt, err := c.front.Submit(callContext(), "h", "/q/"+id, work)
+		receipt, err := c.front.Submit(callContext(), at("/q/"+id), work)
 		if err == nil && receipt.Verdict != mill.VerdictAccepted {
 			err = fmt.Errorf("verdict %d: %s", receipt.Verdict, receipt.Reason)
 		}
@@ -269,7 +274,7 @@
 	c.eventually("complete", func() error {
 		c.report(reporter)
 
-		state, err := c.front.State(callContext(), "h", "/q/"+id)
+		state, err := c.front.State(callContext(), at("/q/"+id))
 		if err == nil && state != mill.JobCompleted {
 			err = fmt.Errorf("job %s is %s", id, state)
 		}
@@ -285,9 +290,9 @@
 	cluster.configure(0, 1)
 	cluster.runJob("first", 1)
 
-	_, err := cluster.front.State(callContext(), "h", "/q/none")
+	_, err := cluster.front.State(callContext(), at("/q/none"))
 	assert.ErrorIs(t, err, mill.ErrNotFound)
-	_, err = cluster.front.State(callContext(), "h", "/other/none")
+	_, err = cluster.front.State(callContext(), at("/other/none"))
 	assert.ErrorIs(t, err, mill.ErrNoQueue)
 
 	cluster.stop(0)
@@ -304,7 +309,7 @@
 		return err
 	})
 
-	state, err := cluster.front.State(callContext(), "h", "/q/first")
+	state, err := cluster.front.State(callContext(), at("/q/first"))
 	assert.NilError(t, err)
 	assert.Equal(t, state, mill.JobCompleted)
 
--- a/internal/core/unknown_queue_test.go
+++ b/internal/core/unknown_queue_test.go
@@ -23,7 +23,7 @@
 		})
 	})
 
-	assert.NilError(t, cluster.front.Cancel(callContext(), "h", "/q/first"))
+	assert.NilError(t, cluster.front.Cancel(callContext(), at("/q/first")))
 	cluster.expectRuns(0)
 }
 
@@ -32,12 +32,12 @@
 func TestUnknownQueueNeedsConfirmedLeader(t *testing.T) {
 	cluster := newCutOffLeader(t)
 
-	assert.Assert(t, !errors.Is(cluster.front.Cancel(callContext(), "h", "/new/first"), mill.ErrNoQueue))
+	assert.Assert(t, !errors.Is(cluster.front.Cancel(callContext(), at("/new/first")), mill.ErrNoQueue))
 
-	_, err := cluster.front.Pending(callContext(), "h", "/new/")
+	_, err := cluster.front.Pending(callContext(), at("/new/"))
 	assert.Assert(t, !errors.Is(err, mill.ErrNoQueue), err)
 
-	receipt, err := cluster.front.Submit(callContext(), "h", "/new/second", &mill.Workload{
+	receipt, err := cluster.front.Submit(callContext(), at("/new/second"), &mill.Workload{
 		Spec: "second", Steps: []mill.Step{{Count: 1, Estimate: time.Second}},
 	})
 	assert.NilError(t, err)
--- a/internal/core/unreadable_test.go
+++ b/internal/core/unreadable_test.go
@@ -24,7 +24,7 @@
 		cluster.report(1)
 		cluster.reportUnreadable(sequence)
 
-		state, err := cluster.front.State(callContext(), "h", "/q/job")
+		state, err := cluster.front.State(callContext(), at("/q/job"))
 		if err == nil && state != mill.JobCompleted {
 			err = fmt.Errorf("the job is %s", state)
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -86,7 +86,7 @@
 }
 
 // Submit submits a job to the leader.
-func (f *Front) Submit(ctx context.Context, host, path string, work *mill.Workload) (mill.Receipt, error) {
+func (f *Front) Submit(ctx context.Context, target mill.Target, work *mill.Workload) (mill.Receipt, error) {
 	if err := work.Validate(); err != nil {
 		return mill.Receipt{}, err
 	}
@@ -99,13 +99,13 @@
 
 	reply, ambiguous, err := core.CallLeader[core.SubmitRequest, core.SubmitReply](ctx, f.leaderClient, core.MethodSubmit,
 		func(term uint64) *core.SubmitRequest {
-			return &core.SubmitRequest{Term: term, Host: host, Path: path, Work: *work}
+			return &core.SubmitRequest{Term: term, Host: target.Host, Path: target.Path, Key: target.Key, Work: *work}
 		})
 
 	receipt := receiptFor(reply, ambiguous, err)
 	f.metrics.recordSubmission(receipt.Verdict, time.Since(start))
 
-	log.Info().Str("path", path).Int("verdict", int(receipt.Verdict)).Str("reason", receipt.Reason).
+	log.Info().Str("path", target.Path).Int("verdict", int(receipt.Verdict)).Str("reason", receipt.Reason).
 		Bool("doubtful", ambiguous).Err(err).Msg("submission answered")
 
 	return receipt, nil
@@ -117,6 +117,10 @@
 	switch {
 	case err != nil && ambiguous:
 		return mill.Receipt{Verdict: mill.VerdictUnknown, Reason: err.Error()}
+	case errors.Is(err, mill.ErrUnauthenticated):
+		return mill.Receipt{Verdict: mill.VerdictUnauthenticated, Reason: err.Error()}
+	case errors.Is(err, mill.ErrForbidden):
+		return mill.Receipt{Verdict: mill.VerdictForbidden, Reason: err.Error()}
 	case err != nil:
 		return mill.Receipt{Verdict: mill.VerdictRefused, Reason: err.Error(), RetryAfter: plan.RetryAfterOutage()}
 	case ambiguous && reply.Receipt.Verdict != mill.VerdictAccepted:
@@ -127,9 +131,9 @@
 }
 
 // State asks the leader for a job's state.
-func (f *Front) State(ctx context.Context, host, path string) (mill.JobState, error) {
+func (f *Front) State(ctx context.Context, target mill.Target) (mill.JobState, error) {
 	reply, _, err := core.CallLeader[core.JobRequest, core.StateReply](ctx, f.leaderClient, core.MethodState,
-		jobRequest(host, path))
+		jobRequest(target))
 	if err != nil {
 		return "", err
 	}
@@ -138,20 +142,20 @@
 }
 
 // Cancel cancels a job through the leader.
-func (f *Front) Cancel(ctx context.Context, host, path string) error {
+func (f *Front) Cancel(ctx context.Context, target mill.Target) error {
 	_, _, err := core.CallLeader[core.JobRequest, core.StateReply](ctx, f.leaderClient, core.MethodCancel,
-		jobRequest(host, path))
+		jobRequest(target))
 	if err != nil && !errors.Is(err, mill.ErrNotFound) {
-		log.Warn().Str("path", path).Err(err).Msg("cancellation failed")
+		log.Warn().Str("path", target.Path).Err(err).Msg("cancellation failed")
 	}
 
 	return err
 }
 
 // Pending asks the leader for the number of pending jobs of a queue.
-func (f *Front) Pending(ctx context.Context, host, path string) (int, error) {
+func (f *Front) Pending(ctx context.Context, target mill.Target) (int, error) {
 	reply, _, err := core.CallLeader[core.JobRequest, core.PendingReply](ctx, f.leaderClient, core.MethodPending,
-		jobRequest(host, path))
+		jobRequest(target))
 	if err != nil {
 		return 0, err
 	}
@@ -159,6 +163,8 @@
 	return reply.Pending, nil
 }
 
-func jobRequest(host, path string) func(term uint64) *core.JobRequest {
-	return func(uint64) *core.JobRequest { return &core.JobRequest{Host: host, Path: path} }
+func jobRequest(target mill.Target) func(term uint64) *core.JobRequest {
+	return func(uint64) *core.JobRequest {
+		return &core.JobRequest{Host: target.Host, Path: target.Path, Key: target.Key}
+	}
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -18,4 +18,11 @@
 		assert.Equal(t, receiptFor(reply, true, nil).Verdict, mill.VerdictUnknown)
 		assert.Equal(t, receiptFor(reply, false, nil).Verdict, verdict)
 	}
+
+	for err, verdict := range map[error]mill.Verdict{
+		mill.ErrUnauthenticated: mill.VerdictUnauthenticated, mill.ErrForbidden: mill.VerdictForbidden,
+	} {
+		assert.Equal(t, receiptFor(nil, true, err).Verdict, mill.VerdictUnknown)
+		assert.Equal(t, receiptFor(nil, false, err).Verdict, verdict)
+	}
 }
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -19,6 +19,10 @@
 	mill.VerdictRefused:  "refused",
 	mill.VerdictNoQueue:  "noQueue",
 	mill.VerdictUnknown:  "unknown",
+
+	mill.VerdictUnauthenticated: "unauthenticated",
+	mill.VerdictForbidden:       "forbidden",
+	mill.VerdictBeyondShare:     "beyondShare",
 }
 
 func newMetrics(scope tally.Scope) metrics {
--- a/pkg/mill/cluster.go
+++ b/pkg/mill/cluster.go
@@ -39,6 +39,9 @@
 	VerdictUnauthenticated
 	// VerdictForbidden means that the key's tenant may not make the call.
 	VerdictForbidden
+	// VerdictBeyondShare means that this call has stored nothing and never will, because its tenant sends more
+	// than its share while there is no room.
+	VerdictBeyondShare
 )
 
 // Receipt is the reply to a submission.
@@ -50,17 +53,26 @@
 	Reason string
 }
 
-// JobQueues is the interface that callers use. The host and the longest matching prefix of the path
-// select the queue; the rest of the path is the job's id, and is empty for Pending. Every method that
-// returns an error returns ErrUnavailable when it gets no reply in time.
+// Target is what a caller's call is about. The host and the longest matching prefix of the path select the
+// queue; the rest of the path is the job's id, and is empty for Pending.
+type Target struct {
+	Host string
+	Path string
+	// Key is the tenant's key that the call carries, or "".
+	Key APIKey
+}
+
+// JobQueues is the interface that callers use. Every method that returns an error returns ErrUnavailable when
+// it gets no reply in time.
 type JobQueues interface {
-	Submit(ctx context.Context, host, path string, work *Workload) (Receipt, error)
-	// State returns ErrNotFound for an unknown job and ErrNoQueue for an unknown queue.
-	State(ctx context.Context, host, path string) (JobState, error)
+	Submit(ctx context.Context, target Target, work *Workload) (Receipt, error)
+	// State returns ErrNoQueue for an unknown queue, ErrUnauthenticated without a key that the queue takes,
+	// ErrNotFound for an unknown job and ErrForbidden for a job of another tenant.
+	State(ctx context.Context, target Target) (JobState, error)
 	// Cancel returns the same errors as State.
-	Cancel(ctx context.Context, host, path string) error
+	Cancel(ctx context.Context, target Target) error
 	// Pending returns the number of the queue's accepted jobs that have not started any task.
-	Pending(ctx context.Context, host, path string) (int, error)
+	Pending(ctx context.Context, target Target) (int, error)
 	// Limits returns the limits on callers' requests, or false before the first setup.
 	Limits() (CallLimits, bool)
 }
--- a/pkg/mill/setup.go
+++ b/pkg/mill/setup.go
@@ -140,5 +140,32 @@
 		routes[route] = q.Name
 	}
 
+	return s.validateTenants()
+}
+
+// validateTenants does not look at empty keys, which no call can carry.
+func (s *Setup) validateTenants() error {
+	holders := make(map[KeyDigest]string)
+
+	for i := range s.Tenants {
+		tenant := &s.Tenants[i]
+		if err := tenant.validate(i); err != nil {
+			return err
+		}
+
+		for _, key := range tenant.Keys {
+			if key == "" {
+				continue
+			}
+
+			other, ok := holders[key.Digest()]
+			if ok && other != tenant.Name {
+				return merry.Prependf(ErrInvalid, "tenants %q and %q share an API key", other, tenant.Name)
+			}
+
+			holders[key.Digest()] = tenant.Name
+		}
+	}
+
 	return nil
 }
--- a/pkg/mill/setup_index.go
+++ b/pkg/mill/setup_index.go
@@ -45,7 +45,9 @@
 		addFirst(x.tenants, tenant.Name, tenant)
 
 		for _, key := range tenant.Keys {
-			addFirst(x.keys, key.Digest(), tenant)
+			if key != "" {
+				addFirst(x.keys, key.Digest(), tenant)
+			}
 		}
 	}
 
--- a/pkg/mill/tenant.go
+++ b/pkg/mill/tenant.go
@@ -3,6 +3,9 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"math"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // redactedKey is what is printed in place of a key.
@@ -27,6 +30,11 @@
 	_, _ = state.Write([]byte(redactedKey))
 }
 
+// MarshalJSON encodes a placeholder, since log lines and pages for operators are encoded as JSON.
+func (k APIKey) MarshalJSON() ([]byte, error) {
+	return []byte(`"` + redactedKey + `"`), nil
+}
+
 // KeyDigest is the SHA-256 digest of an APIKey.
 type KeyDigest [sha256.Size]byte
 
@@ -40,3 +48,21 @@
 	// MaxRunning limits what the tenant's running tasks reserve on all workers together; 0 is no limit.
 	MaxRunning Resources
 }
+
+func (t *Tenant) validate(index int) error {
+	if t.Name == "" {
+		return merry.Prependf(ErrInvalid, "tenant %d has no name", index)
+	}
+
+	if t.Weight < 0 || math.IsNaN(t.Weight) || math.IsInf(t.Weight, 0) {
+		return merry.Prependf(ErrInvalid, "tenant %q: weight %v: want a finite number of 0 or more", t.Name, t.Weight)
+	}
+
+	for _, amount := range []int64{t.MaxRunning.MilliCores, t.MaxRunning.MemoryMiB, t.MaxRunning.Accelerators} {
+		if amount < 0 {
+			return merry.Prependf(ErrInvalid, "tenant %q: limit %d: want 0 or more", t.Name, amount)
+		}
+	}
+
+	return nil
+}
