--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -22,10 +22,10 @@
 func (c *Core) registerHandlers(server *wire.Server) {
 	c.host.Register(server)
 	wire.HandleStream(server, MethodForward, c.receiveUpdates)
-	wire.Handle(server, MethodSubmit, c.submit)
-	wire.Handle(server, MethodState, c.state)
-	wire.Handle(server, MethodCancel, c.cancel)
-	wire.Handle(server, MethodPending, c.pending)
+	wire.Handle(server, MethodSubmit, withDenials(c.callMetrics, "submit", c.submit))
+	wire.Handle(server, MethodState, withDenials(c.callMetrics, "state", c.state))
+	wire.Handle(server, MethodCancel, withDenials(c.callMetrics, "cancel", c.cancel))
+	wire.Handle(server, MethodPending, withDenials(c.callMetrics, "pending", c.pending))
 	wire.Handle(server, MethodConfigure, c.configure)
 	wire.Handle(server, MethodSetup, c.setup)
 	wire.Handle(server, MethodWave, c.wave)
@@ -94,6 +94,10 @@
 	case errors.Is(err, mill.ErrNoQueue):
 		return &SubmitReply{Receipt: mill.Receipt{Verdict: mill.VerdictNoQueue}}, nil
 	case err != nil:
+		if errors.Is(err, mill.ErrForbidden) {
+			c.callMetrics.recordSubmission(found.access.tenant, false)
+		}
+
 		return nil, err
 	case found.known:
 		return &SubmitReply{Receipt: mill.Receipt{Verdict: mill.VerdictAccepted}}, nil
@@ -159,6 +163,7 @@
 		return nil, err
 	}
 
+	c.callMetrics.recordSubmission(tenant, true)
 	log.Info().Str("job", found.id).Str("queue", queue).Str("tenant", tenant).Int("steps", len(request.Work.Steps)).
 		Msg("job accepted")
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,6 +75,7 @@
 	relayServer   *relay.Server
 	runner        atomic.Pointer[lead.Runner]
 	commitLatency tally.Histogram
+	callMetrics   *callMetrics
 	ctx           context.Context
 	// leadershipTerm is the term in which this process leads, or 0; stopScheduler stops its scheduler.
 	leadershipTerm uint64
@@ -120,6 +121,7 @@
 	c.stateMachine = newStateMachine(func() bool { return c.runner.Load() != nil }, config.Scope)
 	c.leaderClient = NewLeaderClient(c.client, config.Seeds, config.Address)
 	c.commitLatency = newCommitHistogram(config.Scope)
+	c.callMetrics = newCallMetrics(config.Scope)
 
 	c.pool, err = ants.NewPool(maxConcurrentCalls, ants.WithNonblocking(true))
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cranberrymill/cranberrymill/internal/core"
+	"github.com/cranberrymill/cranberrymill/internal/logs"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
@@ -20,6 +21,9 @@
 // four times the long-poll wait, so that a single lost reply does not make it unready.
 const maxContactAge = 2 * time.Second
 
+// denialLogInterval bounds the lines about submissions without the right key.
+const denialLogInterval = 10 * time.Second
+
 // Config configures a front process.
 type Config struct {
 	// VM is the name of the VM.
@@ -38,6 +42,7 @@
 	config       Config
 	leaderClient *core.LeaderClient
 	metrics      metrics
+	denials      logs.Limiter
 }
 
 var _ mill.JobQueues = (*Front)(nil)
@@ -105,12 +110,26 @@
 	receipt := receiptFor(reply, ambiguous, err)
 	f.metrics.recordSubmission(receipt.Verdict, time.Since(start))
 
-	log.Info().Str("path", target.Path).Int("verdict", int(receipt.Verdict)).Str("reason", receipt.Reason).
-		Bool("doubtful", ambiguous).Err(err).Msg("submission answered")
+	f.logSubmission(target.Path, &receipt, ambiguous, err)
 
 	return receipt, nil
 }
 
+// logSubmission logs how a submission was answered. Those without the right key may be many, so only some are logged.
+func (f *Front) logSubmission(path string, receipt *mill.Receipt, ambiguous bool, err error) {
+	skipped := 0
+
+	if receipt.Verdict == mill.VerdictUnauthenticated || receipt.Verdict == mill.VerdictForbidden {
+		var ok bool
+		if skipped, ok = f.denials.Allow(time.Now(), denialLogInterval); !ok {
+			return
+		}
+	}
+
+	log.Info().Str("path", path).Int("verdict", int(receipt.Verdict)).Str("reason", receipt.Reason).
+		Bool("doubtful", ambiguous).Int("skipped", skipped).Err(err).Msg("submission answered")
+}
+
 // receiptFor returns the verdict that is certain: a submission counts as refused only if no earlier
 // attempt may have reached a leader.
 func receiptFor(reply *core.SubmitReply, ambiguous bool, err error) mill.Receipt {
