--- a/internal/cmds/client.go
+++ b/internal/cmds/client.go
@@ -24,14 +24,17 @@
 	idBytes     = 8
 )
 
-// client calls the API of an entry.
+// client calls the API of an entry or of a store.
 type client struct {
 	address *string
-	key     string
+	// role names the process that is called, and the flag for its address.
+	role string
+	key  string
 }
 
 func newClient(clause *kingpin.CmdClause) *client {
 	return &client{
+		role:    "entry",
 		address: clause.Flag("entry", "Address of an entry.").Default(conf.SingleHTTP).Envar("CRANBERRYMILL_ENTRY").String(),
 	}
 }
@@ -63,13 +66,13 @@
 	}
 
 	if err := fasthttp.DoTimeout(request, response, callTimeout); err != nil {
-		return merry.Errorf("no answer from the entry at %s, name another with --entry: %v", *c.address, err)
+		return merry.Errorf("no answer from the %s at %s, name another with --%s: %v", c.role, *c.address, c.role, err)
 	}
 
-	return decodeReply(response, reply)
+	return c.decodeReply(response, reply)
 }
 
-func decodeReply(response *fasthttp.Response, reply any) error {
+func (c *client) decodeReply(response *fasthttp.Response, reply any) error {
 	status := response.StatusCode()
 
 	if status >= fasthttp.StatusBadRequest {
@@ -81,7 +84,8 @@
 	}
 
 	if err := json.Unmarshal(response.Body(), reply); err != nil {
-		return merry.Errorf("the entry answered %d with unexpected content, check the address in --entry: %v", status, err)
+		return merry.Errorf("the %s answered %d with unexpected content, check the address in --%s: %v",
+			c.role, status, c.role, err)
 	}
 
 	return nil
--- a/internal/cmds/table.go
+++ b/internal/cmds/table.go
@@ -21,6 +21,7 @@
 		cmdJobExplain(),
 		cmdUpstreams(),
 		cmdWorkers(),
+		cmdTenants(),
 		cmdStatus(),
 		cmdAudit(),
 		cmdVersion(),
