--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,6 +48,8 @@
 	// OrderQueue keeps the Orders for the replies to worker reports; nil if orders are sent by calls.
 	OrderQueue *mail.OrderQueue
 	Advisor    mill.Advisor
+	// ReadSetup reads a setup from an operator's document; nil if that is not possible.
+	ReadSetup func(document []byte) (*mill.Setup, error)
 	// Machines is the machine provider's API; nil if there is none.
 	Machines mill.Machines
 	// Scope creates the metrics; nil disables them.
@@ -119,6 +121,7 @@
 		placer:       place.Pack{},
 	}
 	c.stateMachine = newStateMachine(func() bool { return c.runner.Load() != nil }, config.Scope)
+	c.stateMachine.readSetup = config.ReadSetup
 	c.leaderClient = NewLeaderClient(c.client, config.Seeds, config.Address)
 	c.commitLatency = newCommitHistogram(config.Scope)
 	c.callMetrics = newCallMetrics(config.Scope)
--- a/internal/core/state_machine.go
+++ b/internal/core/state_machine.go
@@ -21,6 +21,8 @@
 	// leading reports whether this process leads.
 	leading func() bool
 	metrics outcomeMetrics
+	// readSetup reads an operator's document; nil if it cannot be read.
+	readSetup func(document []byte) (*mill.Setup, error)
 }
 
 var _ raft.StateMachine = (*stateMachine)(nil)
@@ -52,6 +54,10 @@
 
 	m.results = make([]jobs.Result, len(commands))
 	for i := range commands {
+		if commands[i].Setup != nil {
+			commands[i].Setup = m.withTenants(commands[i].Setup)
+		}
+
 		m.results[i] = m.state.Apply(&commands[i])
 	}
 
@@ -102,7 +108,39 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.state.Load(data)
+	if err := m.state.Load(data); err != nil {
+		return err
+	}
+
+	if setup := m.state.Setup(); setup != nil {
+		m.state.AmendSetup(m.withTenants(setup))
+	}
+
+	return nil
+}
+
+// withTenants returns a setup with the tenants of its document. An earlier build knows no tenants: what it commits, or
+// saves in a snapshot, has them in the document alone. All replicas of this build read the same document, and nothing that
+// a log entry decides depends on tenants.
+func (m *stateMachine) withTenants(setup *mill.Setup) *mill.Setup {
+	if m.readSetup == nil || len(setup.Tenants) > 0 {
+		return setup
+	}
+
+	read, err := m.readSetup(setup.Document)
+
+	switch {
+	case err != nil:
+		log.Warn().Err(err).Uint64("version", setup.Version).Msg("document of the setup cannot be read for its tenants")
+	case read.Version == setup.Version && len(read.Tenants) > 0:
+		amended := *setup
+		amended.Queues, amended.Tenants = read.Queues, read.Tenants
+
+		return &amended
+	default:
+	}
+
+	return setup
 }
 
 // view calls read with the state, which does not change during the call.
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -56,6 +56,12 @@
 	return s.stored.Setup
 }
 
+// AmendSetup replaces the setup in force by another reading of the same version.
+func (s *State) AmendSetup(setup *mill.Setup) {
+	s.stored.Setup = setup
+	s.index = mill.NewSetupIndex(setup)
+}
+
 // Job returns the job with that id.
 func (s *State) Job(id string) (*Job, bool) {
 	job, ok := s.stored.Jobs[id]
@@ -154,8 +160,7 @@
 		return ResultObsolete
 	}
 
-	s.stored.Setup = setup
-	s.index = mill.NewSetupIndex(setup)
+	s.AmendSetup(setup)
 
 	return ResultApplied
 }
