Share the confirmations of a leader among calls

Each answer that there is no such key, job or queue had an entry of the log committed, and anyone can send such calls. Calls that wait for a confirmation now share the next one, which begins after they came, so that at most one is under way.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -331,7 +331,7 @@
 		return err
 	}
 
-	return c.commitNothing(ctx)
+	return c.confirmer.wait(ctx)
 }
 
 // setup returns the newest setup.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -78,6 +78,7 @@
 	runner        atomic.Pointer[lead.Runner]
 	commitLatency tally.Histogram
 	callMetrics   *callMetrics
+	confirmer     confirmer
 	ctx           context.Context
 	// leadershipTerm is the term in which this process leads, or 0; stopScheduler stops its scheduler.
 	leadershipTerm uint64
@@ -125,6 +126,7 @@
 	c.leaderClient = NewLeaderClient(c.client, config.Seeds, config.Address)
 	c.commitLatency = newCommitHistogram(config.Scope)
 	c.callMetrics = newCallMetrics(config.Scope)
+	c.confirmer.confirm = c.commitNothing
 
 	c.pool, err = ants.NewPool(maxConcurrentCalls, ants.WithNonblocking(true))
 
