--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -20,10 +20,10 @@
 func (c *Core) registerHandlers(server *wire.Server) {
 	c.host.Register(server)
 	wire.HandleStream(server, MethodForward, c.receiveUpdates)
-	wire.Handle(server, MethodSubmit, c.submit)
-	wire.Handle(server, MethodState, c.state)
-	wire.Handle(server, MethodCancel, c.cancel)
-	wire.Handle(server, MethodPending, c.pending)
+	wire.Handle(server, MethodSubmit, withDenials(c.callMetrics, "submit", c.submit))
+	wire.Handle(server, MethodState, withDenials(c.callMetrics, "state", c.state))
+	wire.Handle(server, MethodCancel, withDenials(c.callMetrics, "cancel", c.cancel))
+	wire.Handle(server, MethodPending, withDenials(c.callMetrics, "pending", c.pending))
 	wire.Handle(server, MethodConfigure, c.configure)
 	wire.Handle(server, MethodSetup, c.setup)
 	wire.Handle(server, MethodWave, c.wave)
@@ -94,7 +94,7 @@
 		return err
 	}
 
-	return c.commitNothing(ctx)
+	return c.confirmer.wait(ctx)
 }
 
 // setup returns the newest setup.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,6 +48,8 @@
 	// OrderQueue keeps the Orders for the replies to worker reports; nil if orders are sent by calls.
 	OrderQueue *mail.OrderQueue
 	Advisor    mill.Advisor
+	// ReadSetup reads a setup from an operator's document; nil if that is not possible.
+	ReadSetup func(document []byte) (*mill.Setup, error)
 	// Machines is the machine provider's API; nil if there is none.
 	Machines mill.Machines
 	// Scope creates the metrics; nil disables them.
@@ -75,6 +77,8 @@
 	relayServer   *relay.Server
 	runner        atomic.Pointer[lead.Runner]
 	commitLatency tally.Histogram
+	callMetrics   *callMetrics
+	confirmer     confirmer
 	ctx           context.Context
 	// leadershipTerm is the term in which this process leads, or 0; stopScheduler stops its scheduler.
 	leadershipTerm uint64
@@ -121,9 +125,12 @@
 		placer:         place.Pack{},
 	}
 	c.stateMachine = newStateMachine(func() bool { return c.runner.Load() != nil }, config.Scope)
+	c.stateMachine.readSetup = config.ReadSetup
 	c.leaderClient = NewLeaderClient(c.client, config.Seeds, config.Address)
 	c.leaderClient.SetScope(config.Scope)
 	c.commitLatency = newCommitHistogram(config.Scope)
+	c.callMetrics = newCallMetrics(config.Scope)
+	c.confirmer.confirm = c.commitNothing
 
 	c.pool, err = ants.NewPool(maxConcurrentCalls, ants.WithNonblocking(true))
 
--- a/internal/core/reach_test.go
+++ b/internal/core/reach_test.go
@@ -74,7 +74,7 @@
 		default:
 		}
 
-		receipt, err := e.front.Submit(callContext(), "h", "/q/"+job, &mill.Workload{
+		receipt, err := e.front.Submit(callContext(), at("/q/"+job), &mill.Workload{
 			Spec: job, Steps: []mill.Step{{Count: 1, Estimate: time.Second}},
 		})
 		if err == nil && receipt.Verdict != mill.VerdictAccepted {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cranberrymill/cranberrymill/internal/core"
+	"github.com/cranberrymill/cranberrymill/internal/logs"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/wire"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
@@ -20,6 +21,9 @@
 // four times the long-poll wait, so that a single lost reply does not make it unready.
 const maxContactAge = 2 * time.Second
 
+// denialLogInterval bounds the lines about submissions without the right key.
+const denialLogInterval = 10 * time.Second
+
 // Config configures a front process.
 type Config struct {
 	// VM is the name of the VM.
@@ -40,6 +44,7 @@
 	config       Config
 	leaderClient *core.LeaderClient
 	metrics      metrics
+	denials      logs.Limiter
 }
 
 var _ mill.JobQueues = (*Front)(nil)
@@ -92,7 +97,7 @@
 }
 
 // Submit submits a job to the leader.
-func (f *Front) Submit(ctx context.Context, host, path string, work *mill.Workload) (mill.Receipt, error) {
+func (f *Front) Submit(ctx context.Context, target mill.Target, work *mill.Workload) (mill.Receipt, error) {
 	if err := work.Validate(); err != nil {
 		return mill.Receipt{}, err
 	}
@@ -105,24 +110,42 @@
 
 	reply, ambiguous, err := core.CallLeader[core.SubmitRequest, core.SubmitReply](ctx, f.leaderClient, core.MethodSubmit,
 		func(term uint64) *core.SubmitRequest {
-			return &core.SubmitRequest{Term: term, Host: host, Path: path, Work: *work}
+			return &core.SubmitRequest{Term: term, Host: target.Host, Path: target.Path, Key: target.Key, Work: *work}
 		})
 
 	receipt := receiptFor(reply, ambiguous, err)
 	f.metrics.recordSubmission(receipt.Verdict, time.Since(start))
 
-	log.Info().Str("path", path).Int("verdict", int(receipt.Verdict)).Str("reason", receipt.Reason).
-		Bool("doubtful", ambiguous).Err(err).Msg("submission answered")
+	f.logSubmission(target.Path, &receipt, ambiguous, err)
 
 	return receipt, nil
 }
 
+// logSubmission logs how a submission was answered. Those without the right key may be many, so only some are logged.
+func (f *Front) logSubmission(path string, receipt *mill.Receipt, ambiguous bool, err error) {
+	skipped := 0
+
+	if receipt.Verdict == mill.VerdictUnauthenticated || receipt.Verdict == mill.VerdictForbidden {
+		var ok bool
+		if skipped, ok = f.denials.Allow(time.Now(), denialLogInterval); !ok {
+			return
+		}
+	}
+
+	log.Info().Str("path", path).Int("verdict", int(receipt.Verdict)).Str("reason", receipt.Reason).
+		Bool("doubtful", ambiguous).Int("skipped", skipped).Err(err).Msg("submission answered")
+}
+
 // receiptFor returns the verdict that is certain: a submission counts as refused only if no earlier
 // attempt may have reached a leader.
 func receiptFor(reply *core.SubmitReply, ambiguous bool, err error) mill.Receipt {
 	switch {
 	case err != nil && ambiguous:
 		return mill.Receipt{Verdict: mill.VerdictUnknown, Reason: err.Error()}
+	case errors.Is(err, mill.ErrUnauthenticated):
+		return mill.Receipt{Verdict: mill.VerdictUnauthenticated, Reason: err.Error()}
+	case errors.Is(err, mill.ErrForbidden):
+		return mill.Receipt{Verdict: mill.VerdictForbidden, Reason: err.Error()}
 	case err != nil:
 		return mill.Receipt{Verdict: mill.VerdictRefused, Reason: err.Error(), RetryAfter: plan.RetryAfterOutage()}
 	case ambiguous && reply.Receipt.Verdict != mill.VerdictAccepted:
@@ -133,9 +156,9 @@
 }
 
 // State asks the leader for a job's state.
-func (f *Front) State(ctx context.Context, host, path string) (mill.JobState, error) {
+func (f *Front) State(ctx context.Context, target mill.Target) (mill.JobState, error) {
 	reply, _, err := core.CallLeader[core.JobRequest, core.StateReply](ctx, f.leaderClient, core.MethodState,
-		jobRequest(host, path))
+		jobRequest(target))
 	if err != nil {
 		return "", err
 	}
@@ -144,20 +167,20 @@
 }
 
 // Cancel cancels a job through the leader.
-func (f *Front) Cancel(ctx context.Context, host, path string) error {
+func (f *Front) Cancel(ctx context.Context, target mill.Target) error {
 	_, _, err := core.CallLeader[core.JobRequest, core.StateReply](ctx, f.leaderClient, core.MethodCancel,
-		jobRequest(host, path))
+		jobRequest(target))
 	if err != nil && !errors.Is(err, mill.ErrNotFound) {
-		log.Warn().Str("path", path).Err(err).Msg("cancellation failed")
+		log.Warn().Str("path", target.Path).Err(err).Msg("cancellation failed")
 	}
 
 	return err
 }
 
 // Pending asks the leader for the number of pending jobs of a queue.
-func (f *Front) Pending(ctx context.Context, host, path string) (int, error) {
+func (f *Front) Pending(ctx context.Context, target mill.Target) (int, error) {
 	reply, _, err := core.CallLeader[core.JobRequest, core.PendingReply](ctx, f.leaderClient, core.MethodPending,
-		jobRequest(host, path))
+		jobRequest(target))
 	if err != nil {
 		return 0, err
 	}
@@ -165,6 +188,8 @@
 	return reply.Pending, nil
 }
 
-func jobRequest(host, path string) func(term uint64) *core.JobRequest {
-	return func(uint64) *core.JobRequest { return &core.JobRequest{Host: host, Path: path} }
+func jobRequest(target mill.Target) func(term uint64) *core.JobRequest {
+	return func(uint64) *core.JobRequest {
+		return &core.JobRequest{Host: target.Host, Path: target.Path, Key: target.Key}
+	}
 }
