--- a/internal/core/contact.go
+++ b/internal/core/contact.go
@@ -49,14 +49,14 @@
 func (c *Core) contact(ctx context.Context, request *ContactRequest) (*ContactReply, error) {
 	c.registerContact(request)
 
-	timer := time.NewTimer(min(time.Duration(request.WaitMilli)*time.Millisecond, longPollTimeout))
+	timer := time.NewTimer(min(time.Duration(request.WaitMilli)*time.Millisecond, watchTimeout))
 	defer timer.Stop()
 
 	for {
 		changed := c.contactChange()
 		reply := c.contactReply()
 
-		if reply.HasSetup && reply.SetupVersion > request.Version || reply.Leader != c.config.Address {
+		if reply.isNews(c.config.Address, request) {
 			return reply, nil
 		}
 
@@ -70,6 +70,16 @@
 	}
 }
 
+// isNews reports whether the reply of a process is not to be held back: it says what the sender of the request does not know,
+// or which process it should ask instead.
+func (r *ContactReply) isNews(self string, request *ContactRequest) bool {
+	if r.Leader == self {
+		return r.HasSetup && r.SetupVersion > request.Version || request.Term > 0 && r.Term > request.Term
+	}
+
+	return request.Term == 0 || r.Leader != "" && r.Term > request.Term
+}
+
 // registerContact registers the sender of a request with this process, if it leads.
 func (c *Core) registerContact(request *ContactRequest) {
 	runner := c.runner.Load()
--- a/internal/core/leader_client.go
+++ b/internal/core/leader_client.go
@@ -50,6 +50,8 @@
 	lostAt time.Time
 	// endContact ends the contact that waits for the leader's reply.
 	endContact context.CancelFunc
+	// calls holds the calls to the leader that wait for its reply.
+	calls leaderCalls
 	// earlierBuild holds until when processes are asked by MethodFollow.
 	earlierBuild map[string]time.Time
 	nextAddress  int
@@ -194,6 +196,9 @@
 	limit, cancel := context.WithTimeout(ctx, attemptTimeout+transferTime(request))
 	defer cancel()
 
+	stop := c.abandonWithLeader(leader, cancel)
+	defer stop()
+
 	start := time.Now()
 	response, err := wire.Call[Request, Response](limit, c.client, leader, method, request)
 
@@ -203,7 +208,7 @@
 		c.mu.Unlock()
 	} else if c.recordCallFailure(leader, start, err) {
 		// The leader is in contact but does not answer the call: a majority may have another one that it has not heard of.
-		go func() { _ = c.ask(context.WithoutCancel(ctx), c.nextProcess(), 0) }()
+		go func() { _ = c.ask(context.WithoutCancel(ctx), c.nextProcess(), 0, 0) }()
 	}
 
 	return response, err
--- a/internal/core/leader_contact.go
+++ b/internal/core/leader_contact.go
@@ -30,6 +30,8 @@
 
 // Run finds the leader and stays in contact with it until the context ends.
 func (c *LeaderClient) Run(ctx context.Context) error {
+	go c.watch(ctx)
+
 	for ctx.Err() == nil {
 		if leader, _ := c.currentLeader(); leader != "" {
 			c.contactLeader(ctx, leader)
@@ -58,7 +60,7 @@
 
 	start := time.Now()
 
-	err := c.ask(limit, leader, wait)
+	err := c.ask(limit, leader, wait, 0)
 	if err != nil && limit.Err() == nil {
 		c.recordContactFailure(leader, start, err)
 	}
@@ -76,7 +78,7 @@
 		defer close(answered)
 
 		// The counter of contacts shows a failure, and the next process is asked.
-		_ = c.ask(ctx, c.nextProcess(), 0)
+		_ = c.ask(ctx, c.nextProcess(), 0, 0)
 	}()
 
 	slow := time.NewTimer(slowReply)
@@ -110,8 +112,9 @@
 	return addresses[c.nextAddress%len(addresses)]
 }
 
-// ask exchanges one contact with a process, whose reply may be held back for the given time.
-func (c *LeaderClient) ask(ctx context.Context, address string, wait time.Duration) error {
+// ask exchanges one contact with a process, whose reply may be held back for the given time, also until it knows a leader of
+// a later term than the given one, unless that is 0.
+func (c *LeaderClient) ask(ctx context.Context, address string, wait time.Duration, term uint64) error {
 	limit, cancel := context.WithTimeout(ctx, wait+contactTimeout)
 	defer cancel()
 
@@ -121,6 +124,7 @@
 		RelayFor:  c.relayFor,
 		UnixMilli: time.Now().UnixMilli(),
 		WaitMilli: wait.Milliseconds(),
+		Term:      term,
 	})
 
 	c.metrics.count(reply, err, errors.Is(limit.Err(), context.DeadlineExceeded))
@@ -196,6 +200,7 @@
 		if c.leader != reply.Leader {
 			c.leader, c.confirmed = reply.Leader, false
 			c.endContact()
+			c.abandonCalls()
 		}
 
 		c.term = reply.Term
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -94,6 +94,9 @@
 	UnixMilli int64
 	// WaitMilli is how long the reply may be held back.
 	WaitMilli int64
+	// Term is the term of the leader that the sender knows. A process that does not lead holds its reply back until it knows
+	// the leader of a later term; 0 is for a reply at once.
+	Term uint64 `cbor:",omitempty"`
 }
 
 // ContactReply answers a ContactRequest. Its size does not depend on that of the setup.
