Find queues by the index of the setup in plans and calls

newCandidate went through all queues for each step of each plan, and calls on jobs for each request. The check of a setup no longer goes through all services for each queue.

--- a/internal/core/job_calls.go
+++ b/internal/core/job_calls.go
@@ -74,7 +74,7 @@
 			return
 		}
 
-		found, rest, ok := state.Setup().Find(request.Host, request.Path)
+		found, rest, ok := state.SetupIndex().Find(request.Host, request.Path)
 		if !ok || rest == "" || strings.Contains(rest, "/") {
 			return
 		}
@@ -121,7 +121,7 @@
 			return
 		}
 
-		_, id, ok := state.Setup().Find(request.Host, request.Path)
+		_, id, ok := state.SetupIndex().Find(request.Host, request.Path)
 		if !ok {
 			err = merry.Prepend(mill.ErrNoQueue, request.Path, merry.NoCaptureStack())
 
@@ -184,7 +184,7 @@
 			return
 		}
 
-		queue, rest, ok := state.Setup().Find(request.Host, request.Path)
+		queue, rest, ok := state.SetupIndex().Find(request.Host, request.Path)
 		if !ok || rest != "" {
 			err = merry.Prepend(mill.ErrNoQueue, request.Path, merry.NoCaptureStack())
 
--- a/internal/lead/backlog.go
+++ b/internal/lead/backlog.go
@@ -18,7 +18,7 @@
 			continue
 		}
 
-		found = s.appendCandidates(found, job, wallMilli, state.Setup())
+		found = s.appendCandidates(found, job, wallMilli, state.SetupIndex())
 	}
 
 	for id := range s.advice {
@@ -38,7 +38,9 @@
 	return found
 }
 
-func (s *Scheduler) appendCandidates(found []*candidate, job *jobs.Job, wallMilli int64, setup *mill.Setup) []*candidate {
+func (s *Scheduler) appendCandidates(
+	found []*candidate, job *jobs.Job, wallMilli int64, setup *mill.SetupIndex,
+) []*candidate {
 	for number, occurrence := range job.DueOccurrences(wallMilli) {
 		for index := range occurrence.Steps {
 			step := &occurrence.Steps[index]
@@ -62,13 +64,11 @@
 
 // newCandidate returns a step with its queue as configured now, or as configured at submission if
 // the queue no longer exists.
-func (s *Scheduler) newCandidate(job *jobs.Job, setup *mill.Setup, id mill.StepID) *candidate {
+func (s *Scheduler) newCandidate(job *jobs.Job, setup *mill.SetupIndex, id mill.StepID) *candidate {
 	queue := &job.Queue
 
-	if setup != nil {
-		if current, ok := setup.Queue(queue.Name); ok {
-			queue = current
-		}
+	if current, ok := setup.Queue(queue.Name); ok {
+		queue = current
 	}
 
 	return &candidate{
--- a/internal/lead/bench_test.go
+++ b/internal/lead/bench_test.go
@@ -59,6 +59,33 @@
 	}
 }
 
+// BenchmarkNextLargeSetup measures one plan on a full pool while hundreds of steps wait, beside a setup with 1,200 queues.
+func BenchmarkNextLargeSetup(b *testing.B) {
+	state, scheduler := benchmarkPool(48)
+	setup := *simSetup()
+	setup.Version++
+
+	filler := make([]mill.Queue, 1200)
+	for i := range filler {
+		filler[i] = mill.Queue{Name: fmt.Sprint("filler", i), Service: "pool"}
+	}
+
+	setup.Queues = append(filler, setup.Queues...)
+	state.Apply(&jobs.Command{Setup: &setup})
+	benchmarkSubmit(state, "full", "free", 96, 2000)
+	scheduler.Next(simStart, simStart.UnixMilli(), state)
+
+	for i := range 400 {
+		benchmarkSubmit(state, fmt.Sprintf("wait%d", i), "free", 10, 2000)
+	}
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		scheduler.Next(simStart, simStart.UnixMilli(), state)
+	}
+}
+
 // benchmarkPool returns a scheduler with the given number of idle workers.
 func benchmarkPool(workers int) (*jobs.State, *Scheduler) {
 	state := jobs.NewState()
--- a/internal/lead/preempt.go
+++ b/internal/lead/preempt.go
@@ -135,7 +135,8 @@
 
 	victim, ok := p.victims[r.task.StepID]
 	if !ok {
-		victim = s.newUrgency(s.newCandidate(job, p.state.Setup(), r.task.StepID), job.Occurrences[r.task.Occurrence], p.wallMilli)
+		running := s.newCandidate(job, p.state.SetupIndex(), r.task.StepID)
+		victim = s.newUrgency(running, job.Occurrences[r.task.Occurrence], p.wallMilli)
 		p.victims[r.task.StepID] = victim
 	}
 
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -227,7 +227,7 @@
 }
 
 func (sim *simulation) queue(job string) *mill.Queue {
-	queue, _ := sim.state.Setup().Queue(sim.specs[job].queue)
+	queue, _ := sim.state.SetupIndex().Queue(sim.specs[job].queue)
 
 	return queue
 }
--- a/pkg/mill/setup.go
+++ b/pkg/mill/setup.go
@@ -1,7 +1,6 @@
 package mill
 
 import (
-	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -76,55 +75,19 @@
 	Document []byte
 }
 
-// Find returns the queue of a request and the rest of the path after the queue's prefix.
-func (s *Setup) Find(host, path string) (*Queue, string, bool) {
-	var found *Queue
-
-	for i := range s.Queues {
-		q := &s.Queues[i]
-
-		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (found == nil || len(q.Prefix) > len(found.Prefix)) {
-			found = q
-		}
-	}
-
-	if found == nil {
-		return nil, "", false
-	}
-
-	return found, path[len(found.Prefix):], true
-}
-
-// Queue returns the queue with that name.
-func (s *Setup) Queue(name string) (*Queue, bool) {
-	for i := range s.Queues {
-		if s.Queues[i].Name == name {
-			return &s.Queues[i], true
-		}
-	}
-
-	return nil, false
-}
-
-// Service returns the service with that name.
-func (s *Setup) Service(name string) (*Service, bool) {
-	for i := range s.Services {
-		if s.Services[i].Name == name {
-			return &s.Services[i], true
-		}
-	}
-
-	return nil, false
-}
-
 // Validate returns ErrInvalid naming the first error found.
 func (s *Setup) Validate() error {
 	routes := make(map[[2]string]string, len(s.Queues))
+	services := make(map[string]bool, len(s.Services))
+
+	for i := range s.Services {
+		services[s.Services[i].Name] = true
+	}
 
 	for i := range s.Queues {
 		q := &s.Queues[i]
 
-		if _, ok := s.Service(q.Service); !ok {
+		if !services[q.Service] {
 			return merry.Prependf(ErrInvalid, "queue %q: service %q is not declared", q.Name, q.Service)
 		}
 
