--- a/internal/lead/bench_test.go
+++ b/internal/lead/bench_test.go
@@ -45,6 +45,13 @@
 	b.Helper()
 
 	state, scheduler := benchmarkPool(workers)
+	benchmarkFull(b, state, scheduler, workers)
+}
+
+// benchmarkFull measures plans while a job fills all workers and others wait.
+func benchmarkFull(b *testing.B, state *jobs.State, scheduler *Scheduler, workers int) {
+	b.Helper()
+
 	benchmarkSubmit(state, "full", "free", 2*workers, 2000)
 	scheduler.Next(simStart, simStart.UnixMilli(), state)
 
@@ -72,18 +79,7 @@
 
 	setup.Queues = append(filler, setup.Queues...)
 	state.Apply(&jobs.Command{Setup: &setup})
-	benchmarkSubmit(state, "full", "free", 96, 2000)
-	scheduler.Next(simStart, simStart.UnixMilli(), state)
-
-	for i := range 400 {
-		benchmarkSubmit(state, fmt.Sprintf("wait%d", i), "free", 10, 2000)
-	}
-
-	b.ReportAllocs()
-
-	for b.Loop() {
-		scheduler.Next(simStart, simStart.UnixMilli(), state)
-	}
+	benchmarkFull(b, state, scheduler, 48)
 }
 
 // benchmarkPool returns a scheduler with the given number of idle workers.
