Compress large messages between core processes

A setup travels as the operator's document beside its parsed form, 519 kB for a document of 291 kB with 1,200 queues, to each voter, and on a link that carries that in more than 400 ms the log's leader sends it again. Batches of 32 KiB and more are compressed for processes that say in their receipts that they take that; those of the earlier build never say so. A change and a read of the setup through another process are compressed too, with the earlier call as the fallback, and a read holds the document without the parsed form.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -9,7 +9,6 @@
 	"github.com/phuslu/log"
 
 	"github.com/cranberrymill/cranberrymill/internal/drive"
-	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/internal/lead"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/relay"
@@ -19,12 +18,13 @@
 
 func (c *Core) registerHandlers(server *wire.Server) {
 	c.host.Register(server)
-	wire.HandleStream(server, MethodForward, c.receiveUpdates)
+	drive.HandleBatches(server, MethodForward, c.receiveUpdates)
 	wire.Handle(server, MethodSubmit, c.submit)
 	wire.Handle(server, MethodState, c.state)
 	wire.Handle(server, MethodCancel, c.cancel)
 	wire.Handle(server, MethodPending, c.pending)
 	wire.Handle(server, MethodConfigure, c.configure)
+	wire.Handle(server, MethodConfigurePacked, c.configurePacked)
 	wire.Handle(server, MethodSetup, c.setup)
 	wire.Handle(server, MethodWave, c.wave)
 	wire.Handle(server, MethodWaveState, c.waveState)
@@ -72,22 +72,6 @@
 	return nil
 }
 
-func (c *Core) configure(ctx context.Context, setup *mill.Setup) (*ConfigureReply, error) {
-	if err := c.checkLeading(); err != nil {
-		return nil, err
-	}
-
-	results, err := c.commit(ctx, jobs.Command{Setup: setup})
-	if err != nil {
-		return nil, err
-	}
-
-	log.Info().Uint64("version", setup.Version).Int("queues", len(setup.Queues)).
-		Bool("changed", results[0] == jobs.ResultApplied).Msg("setup committed")
-
-	return &ConfigureReply{}, nil
-}
-
 // confirmLeadership returns nil if this process knows all that any leader had committed when it was called.
 func (c *Core) confirmLeadership(ctx context.Context) error {
 	if err := c.checkLeading(); err != nil {
@@ -97,26 +81,12 @@
 	return c.commitNothing(ctx)
 }
 
-// setup returns the newest setup.
-func (c *Core) setup(ctx context.Context, _ *SetupRequest) (*SetupReply, error) {
-	if err := c.confirmLeadership(ctx); err != nil {
-		return nil, err
-	}
-
-	reply := &SetupReply{}
-	c.stateMachine.view(func(state *jobs.State) { reply.Setup = state.Setup() })
-
-	return reply, nil
-}
-
-func (c *Core) receiveUpdates(_ context.Context, batch *drive.Batch[WorkerUpdate]) (*drive.Receipt, error) {
+func (c *Core) receiveUpdates(updates []WorkerUpdate) {
 	now := time.Now()
 
-	for _, update := range batch.Messages {
-		c.recordUpdate(&update, now.Add(-time.Duration(update.AgeMilli)*time.Millisecond))
+	for i := range updates {
+		c.recordUpdate(&updates[i], now.Add(-time.Duration(updates[i].AgeMilli)*time.Millisecond))
 	}
-
-	return &drive.Receipt{}, nil
 }
 
 // recordUpdate records an update about a worker that a process received at the given time, and reports whether it was
@@ -252,30 +222,3 @@
 
 	return nil
 }
-
-// Configure stores a setup through the leader.
-func (c *Core) Configure(ctx context.Context, setup *mill.Setup) error {
-	if err := setup.Validate(); err != nil {
-		return err
-	}
-
-	_, _, err := CallLeader[mill.Setup, ConfigureReply](ctx, c.leaderClient, MethodConfigure,
-		func(uint64) *mill.Setup { return setup })
-
-	return err
-}
-
-// CurrentSetup returns the newest setup, as read through the leader.
-func (c *Core) CurrentSetup(ctx context.Context) (*mill.Setup, error) {
-	reply, _, err := CallLeader[SetupRequest, SetupReply](ctx, c.leaderClient, MethodSetup,
-		func(uint64) *SetupRequest { return &SetupRequest{} })
-	if err != nil {
-		return nil, err
-	}
-
-	if reply.Setup == nil {
-		return nil, merry.Prepend(mill.ErrUnavailable, "there is no setup yet", merry.NoCaptureStack())
-	}
-
-	return reply.Setup, nil
-}
--- a/internal/core/contact_test.go
+++ b/internal/core/contact_test.go
@@ -171,3 +171,34 @@
 		cancel()
 	}
 }
+
+// TestSetupCallsWithEarlierBuild guards against a large setup that a leader of the earlier build does not get, or that is
+// not read from it, because this build compresses it.
+func TestSetupCallsWithEarlierBuild(t *testing.T) {
+	want := &mill.Setup{Version: 5, Document: make([]byte, wire.PackBytes)}
+	got := make(chan *mill.Setup, 1)
+
+	address := serveTest(t, func(server *wire.Server, address string) {
+		wire.Handle(server, MethodFollow, func(context.Context, *FollowRequest) (*FollowReply, error) {
+			return &FollowReply{Leader: address, Term: 1}, nil
+		})
+		wire.Handle(server, MethodConfigure, func(_ context.Context, setup *mill.Setup) (*ConfigureReply, error) {
+			got <- setup
+
+			return &ConfigureReply{}, nil
+		})
+		wire.Handle(server, MethodSetup, func(context.Context, *struct{}) (*struct{ Setup *mill.Setup }, error) {
+			return &struct{ Setup *mill.Setup }{Setup: want}, nil
+		})
+	})
+
+	client, _ := runTestClient(t, address)
+	c := &Core{leaderClient: client}
+
+	assert.NilError(t, c.Configure(t.Context(), want))
+	assert.DeepEqual(t, <-got, want)
+
+	read, err := c.CurrentSetup(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, read, want)
+}
--- a/internal/core/forward_test.go
+++ b/internal/core/forward_test.go
@@ -1,13 +1,11 @@
 package core
 
 import (
-	"context"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"github.com/cranberrymill/cranberrymill/internal/drive"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -22,8 +20,7 @@
 
 	first.workers.add(&mill.WorkerStatus{ID: "w", Sequence: 1}, now.Add(-age))
 
-	_, err := second.receiveUpdates(context.Background(), &drive.Batch[WorkerUpdate]{Messages: first.recentUpdates(now)})
-	assert.NilError(t, err)
+	second.receiveUpdates(first.recentUpdates(now))
 
 	known := second.workers.recent(now)
 	assert.Equal(t, len(known), 1)
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -12,13 +12,15 @@
 	MethodCancel    = "core.Cancel"
 	MethodPending   = "core.Pending"
 	MethodConfigure = "core.Configure"
-	MethodSetup     = "core.Setup"
-	MethodWave      = "core.Wave"
-	MethodWaveState = "core.WaveState"
-	MethodContact   = "core.Contact"
-	MethodFollow    = "core.Follow"
-	MethodForward   = "core.PassOn"
-	MethodAdvise    = "core.Advise"
+	// MethodConfigurePacked is MethodConfigure with a compressed setup, which the earlier build does not know.
+	MethodConfigurePacked = "core.ConfigurePacked"
+	MethodSetup           = "core.Setup"
+	MethodWave            = "core.Wave"
+	MethodWaveState       = "core.WaveState"
+	MethodContact         = "core.Contact"
+	MethodFollow          = "core.Follow"
+	MethodForward         = "core.PassOn"
+	MethodAdvise          = "core.Advise"
 )
 
 // SubmitRequest submits a job to the queue that host and path select.
@@ -52,9 +54,16 @@
 	Pending int
 }
 
-// SetupReply holds the current setup, or nil if there is none yet.
+// SetupReply holds the version, limits and document of the current setup, or nil if there is none yet.
 type SetupReply struct {
 	Setup *mill.Setup
+	// Packed is the compressed setup in place of Setup.
+	Packed []byte `cbor:",omitempty"`
+}
+
+// PackedSetup holds a compressed mill.Setup.
+type PackedSetup struct {
+	Packed []byte
 }
 
 // ConfigureReply acknowledges a change of the setup.
@@ -74,7 +83,10 @@
 }
 
 // SetupRequest asks for the newest setup.
-type SetupRequest struct{}
+type SetupRequest struct {
+	// Unpacks says that the sender takes a compressed setup.
+	Unpacks bool `cbor:",omitempty"`
+}
 
 // ContactRequest asks a core process for the leader, and registers the sender with it. The leader holds its reply back for
 // up to WaitMilli while there is no setup newer than Version (long polling).
--- a/internal/core/reach_test.go
+++ b/internal/core/reach_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -121,6 +122,20 @@
 	c.eventually("configure", func() error { return c.running().Configure(callContext(), setup) })
 }
 
+// expectDocument waits until the setup of a version is read back, and expects the document as it was committed.
+func (c *testCluster) expectDocument(version uint64, document []byte) {
+	c.t.Helper()
+	c.eventually("read", func() error {
+		setup, err := c.running().CurrentSetup(callContext())
+		if err == nil {
+			assert.Equal(c.t, setup.Version, version)
+			assert.Assert(c.t, bytes.Equal(setup.Document, document))
+		}
+
+		return err
+	})
+}
+
 // running returns a core process that runs.
 func (c *testCluster) running() *core.Core {
 	for at, stop := range c.stops {
@@ -169,6 +184,7 @@
 		}
 
 		entry.expectService(version)
+		cluster.expectDocument(version, largeSetup(version, queues).Document)
 	}
 
 	cluster.stopLeader()
--- a/internal/drive/outbox.go
+++ b/internal/drive/outbox.go
@@ -20,14 +20,6 @@
 	ackTimeout = time.Second
 )
 
-// Batch holds the messages that one process delivers to another in one stream message.
-type Batch[M any] struct {
-	Messages []M
-}
-
-// Receipt acknowledges a Batch.
-type Receipt struct{}
-
 // Outbox sends messages to peers in order, with one goroutine per address. It
 // drops messages when the queue is full or the peer does not answer.
 type Outbox[M any] struct {
@@ -84,6 +76,7 @@
 		current   *delivery[M]
 		connected = true
 		sentAt    time.Time
+		unpacks   atomic.Bool
 	)
 
 	for {
@@ -101,7 +94,7 @@
 		if current.needsReopen() {
 			current.close()
 
-			current, err = openDelivery[M](o.ctx, o.client, address, o.method)
+			current, err = openDelivery[M](o.ctx, o.client, address, o.method, &unpacks)
 			connected = logConnection(address, connected, err)
 		}
 
@@ -135,9 +128,13 @@
 	// lastAck is when the peer last acknowledged a batch or had none to acknowledge.
 	lastAck atomic.Pointer[time.Time]
 	broken  atomic.Bool
+	// unpacks says that the process that answered last at the peer's address takes compressed batches.
+	unpacks *atomic.Bool
 }
 
-func openDelivery[M any](ctx context.Context, client *wire.Client, address, method string) (*delivery[M], error) {
+func openDelivery[M any](
+	ctx context.Context, client *wire.Client, address, method string, unpacks *atomic.Bool,
+) (*delivery[M], error) {
 	ctx, cancel := context.WithCancel(ctx)
 
 	stream, err := wire.OpenStream[Batch[M], Receipt](ctx, client, address, method)
@@ -147,7 +144,7 @@
 		return nil, err
 	}
 
-	d := &delivery[M]{stream: stream, cancel: cancel}
+	d := &delivery[M]{stream: stream, cancel: cancel, unpacks: unpacks}
 	d.recordAck()
 
 	go d.receiveAcks()
@@ -157,12 +154,14 @@
 
 func (d *delivery[M]) receiveAcks() {
 	for {
-		if _, err := d.stream.Receive(); err != nil {
+		receipt, err := d.stream.Receive()
+		if err != nil {
 			d.broken.Store(true)
 
 			return
 		}
 
+		d.unpacks.Store(receipt.Unpacks)
 		d.unackedBatches.Add(-1)
 		d.recordAck()
 	}
@@ -189,13 +188,20 @@
 }
 
 func (d *delivery[M]) send(messages []M) bool {
+	data, err := EncodeBatch(messages, d.unpacks.Load())
+	if err != nil {
+		log.Error().Err(err).Int("messages", len(messages)).Msg("messages for a peer cannot be encoded, dropping them")
+
+		return true
+	}
+
 	d.unackedBatches.Add(1)
 
 	// A peer that does not read blocks the writer, so a send has a timeout of its own.
 	timer := time.AfterFunc(ackTimeout, d.cancel)
 	defer timer.Stop()
 
-	return d.stream.Send(&Batch[M]{Messages: messages}) == nil
+	return d.stream.SendEncoded(data) == nil
 }
 
 func (d *delivery[M]) close() {
--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -92,7 +92,7 @@
 
 // Register adds the handler of the group's messages to a server.
 func (h *Host) Register(server *wire.Server) {
-	wire.HandleStream(server, h.config.Method, h.deliver)
+	drive.HandleBatches(server, h.config.Method, h.deliver)
 }
 
 // Role returns this process's current role.
@@ -186,12 +186,10 @@
 	return merry.Prepend(mill.ErrUnavailable, "the leader changed", merry.NoCaptureStack())
 }
 
-func (h *Host) deliver(_ context.Context, batch *drive.Batch[raft.Message]) (*drive.Receipt, error) {
-	for _, message := range batch.Messages {
+func (h *Host) deliver(messages []raft.Message) {
+	for _, message := range messages {
 		h.driver.Deliver(message)
 	}
-
-	return &drive.Receipt{}, nil
 }
 
 // applier implements raft.StateMachine for a Host.
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -41,8 +41,15 @@
 
 var _ drpc.Encoding = codec{}
 
+// encoded is a message that Encode has already encoded.
+type encoded []byte
+
 // Marshal encodes a message.
 func (codec) Marshal(message drpc.Message) ([]byte, error) {
+	if data, ok := message.(encoded); ok {
+		return data, nil
+	}
+
 	return Encode(message)
 }
 
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -41,6 +41,11 @@
 	return s.stream.MsgSend(request, codec{})
 }
 
+// SendEncoded sends a request that Encode has encoded, without waiting for the response.
+func (s *Stream[Request, Response]) SendEncoded(data []byte) error {
+	return s.stream.MsgSend(encoded(data), codec{})
+}
+
 // Receive waits for the response to the oldest unanswered request.
 func (s *Stream[Request, Response]) Receive() (*Response, error) {
 	var response Response
--- a/pkg/mill/cluster.go
+++ b/pkg/mill/cluster.go
@@ -69,7 +69,8 @@
 type Control interface {
 	// Configure stores a setup. One that is no newer than the setup in force is accepted without effect.
 	Configure(ctx context.Context, setup *Setup) error
-	// CurrentSetup returns the newest setup, or ErrUnavailable when this process cannot be sure which one that is.
+	// CurrentSetup returns the version, limits and document of the newest setup, or ErrUnavailable when this process cannot
+	// be sure which one that is.
 	CurrentSetup(ctx context.Context) (*Setup, error)
 	// ReportWorker records a worker's report.
 	ReportWorker(ctx context.Context, report *WorkerReport) (*ReportReply, error)
