--- a/internal/lead/bench_test.go
+++ b/internal/lead/bench_test.go
@@ -45,6 +45,13 @@
 	b.Helper()
 
 	state, scheduler := benchmarkPool(workers)
+	benchmarkFull(b, state, scheduler, workers)
+}
+
+// benchmarkFull measures plans while a job fills all workers and others wait.
+func benchmarkFull(b *testing.B, state *jobs.State, scheduler *Scheduler, workers int) {
+	b.Helper()
+
 	benchmarkSubmit(state, "full", "free", 2*workers, 2000)
 	scheduler.Next(simStart, simStart.UnixMilli(), state)
 
@@ -59,6 +66,22 @@
 	}
 }
 
+// BenchmarkNextLargeSetup measures one plan on a full pool while hundreds of steps wait, beside a setup with 1,200 queues.
+func BenchmarkNextLargeSetup(b *testing.B) {
+	state, scheduler := benchmarkPool(48)
+	setup := *simSetup()
+	setup.Version++
+
+	filler := make([]mill.Queue, 1200)
+	for i := range filler {
+		filler[i] = mill.Queue{Name: fmt.Sprint("filler", i), Service: "pool"}
+	}
+
+	setup.Queues = append(filler, setup.Queues...)
+	state.Apply(&jobs.Command{Setup: &setup})
+	benchmarkFull(b, state, scheduler, 48)
+}
+
 // benchmarkPool returns a scheduler with the given number of idle workers.
 func benchmarkPool(workers int) (*jobs.State, *Scheduler) {
 	state := jobs.NewState()
