Start a tenant's tasks only within its limit

Nothing bounded what one tenant has running, so one that submits a backlog could take every worker.

The scheduler sums up the runs of each tenant as they come and go, and a plan cuts each step to what the limit of the setup in force lets start, a gang as a whole. What is cut off gets no worker reserved, no request for advice and no preempted run, and does not count as idle.

Random simulations with limits that change, new leaders and lost answers hold each start against the highest limit that may be in force. Without the cut they fail.

--- a/internal/lead/advice_reserve.go
+++ b/internal/lead/advice_reserve.go
@@ -50,6 +50,8 @@
 		workers[at].reserve(c.step.Reserves())
 	}
 
+	c.keepWithinLimit(len(chosen))
+
 	c.adviceWanted = make([]string, 0, len(workers))
 	for _, w := range workers[:min(len(workers), s.adviceNames(c))] {
 		c.adviceWanted = append(c.adviceWanted, w.status.ID)
--- a/internal/lead/backlog.go
+++ b/internal/lead/backlog.go
@@ -76,6 +76,7 @@
 		job:           job,
 		queue:         queue,
 		step:          &job.Work.Steps[id.Step],
+		tenant:        s.tenantOf(job.Tenant),
 		deliveryDelay: commitDelay + s.bounds.MaxDeliveryDelay,
 		now:           s.plannedAt,
 	}
--- a/internal/lead/bench_test.go
+++ b/internal/lead/bench_test.go
@@ -169,3 +169,58 @@
 		scheduler.Next(simStart, simStart.UnixMilli(), state)
 	}
 }
+
+// BenchmarkNextTenants measures one plan on a full pool with 600 waiting steps, of no tenant and of 430 tenants, of which
+// every second is at its limit.
+func BenchmarkNextTenants(b *testing.B) {
+	for _, tenants := range []int{0, 430} {
+		b.Run(fmt.Sprintf("tenants=%d", tenants), func(b *testing.B) { benchmarkTenants(b, tenants) })
+	}
+}
+
+func benchmarkTenants(b *testing.B, tenants int) {
+	b.Helper()
+
+	const workers, waiting = 350, 600
+
+	state, scheduler := benchmarkPool(workers)
+	setup := simSetup()
+	setup.Version++
+
+	for i := range tenants {
+		setup.Tenants = append(setup.Tenants, mill.Tenant{
+			Name: fmt.Sprintf("t%d", i), Weight: 1, MaxRunning: mill.Resources{MilliCores: int64(1+i%2) * 100_000},
+		})
+	}
+
+	state.Apply(&jobs.Command{Setup: setup})
+
+	submit := func(id string, number, count int) {
+		tenant := ""
+		if tenants > 0 {
+			tenant = fmt.Sprintf("t%d", number%tenants)
+		}
+
+		state.Apply(&jobs.Command{Submit: &jobs.Submit{
+			Job: id, Queue: "free", UnixMilli: simStart.UnixMilli(), Tenant: tenant, Work: mill.Workload{
+				Steps: []mill.Step{{Count: count, PerTask: mill.Resources{MilliCores: 2000}, Estimate: time.Second}},
+			},
+		}})
+	}
+
+	for i := range waiting {
+		submit(fmt.Sprintf("run%d", i), i, 2)
+	}
+
+	scheduler.Next(simStart, simStart.UnixMilli(), state)
+
+	for i := range waiting {
+		submit(fmt.Sprintf("wait%d", i), i, 10)
+	}
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		scheduler.Next(simStart, simStart.UnixMilli(), state)
+	}
+}
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -72,6 +72,10 @@
 	state *jobs.Step
 	// waiting holds the indexes of the tasks that are to be placed.
 	waiting []int
+	// withheld holds the indexes of the tasks that the limit of the job's tenant does not let start; tenant is nil for a job
+	// without one.
+	withheld []int
+	tenant   *tenantUse
 	// beingPlaced says that the placement of a task is being committed.
 	beingPlaced bool
 	urgency     plan.Urgency
@@ -99,7 +103,7 @@
 	count := 0
 
 	for _, c := range candidates {
-		if len(c.waiting) > 0 {
+		if len(c.waiting)+len(c.withheld) > 0 {
 			count++
 		}
 	}
--- a/internal/lead/committed.go
+++ b/internal/lead/committed.go
@@ -62,7 +62,7 @@
 	}
 
 	if !applied {
-		delete(s.runs, place.Task)
+		s.forgetRun(r)
 		r.worker.remove(r)
 
 		return
@@ -86,7 +86,7 @@
 		return
 	}
 
-	delete(s.runs, finish.Task)
+	s.forgetRun(r)
 
 	w := r.worker
 	w.uncommittedFinishes--
--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -279,6 +279,7 @@
 	e.running[order.Task] = a
 
 	e.sim.checkCapacity(e, order.Task, late)
+	e.sim.tenants.checkStart(order.Task, late)
 
 	if e.sim.crashingTasks[order.Task] {
 		e.sim.after(max(simStep, e.sim.crashDelay), func() {
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -339,6 +339,8 @@
 
 // checkIndexes compares what the scheduler keeps between plans with what a search through everything finds.
 func (sim *simulation) checkIndexes(s *Scheduler) {
+	sim.tenants.checkUse(s)
+
 	for _, r := range s.runs {
 		due := r.cause == "" && (r.stopping || r.phase == runStarting)
 		if _, listed := s.ordersDue[r]; due && !listed {
--- a/internal/lead/overdue.go
+++ b/internal/lead/overdue.go
@@ -18,7 +18,7 @@
 	var commands []jobs.Command
 
 	for _, c := range s.overdueSteps(candidates, p) {
-		if len(c.waiting) > 0 && (c.step.LongRunning || !p.startedJobs[c.id.Job]) {
+		if len(c.waiting)+len(c.withheld) > 0 && (c.step.LongRunning || !p.startedJobs[c.id.Job]) {
 			commands = append(commands, s.startOne(c, p)...)
 		}
 	}
@@ -45,6 +45,10 @@
 
 // startOne places a task of an overdue step, or its gang, or has the advisor asked about it.
 func (s *Scheduler) startOne(c *candidate, p *pass) []jobs.Command {
+	if c.cutToRuns(); c.atLimit() {
+		return nil
+	}
+
 	c.overdue = true
 	defer func() { c.overdue = false }()
 
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -26,6 +26,10 @@
 // placeInOrder places the tasks of a step whose turn has come. For tasks that cannot be placed yet it may reserve capacity,
 // so that steps with lower precedence don't use it.
 func (s *Scheduler) placeInOrder(c *candidate, p *pass) []jobs.Command {
+	if c.cutToLimit(); c.atLimit() {
+		return nil
+	}
+
 	pool := p.pool(c)
 
 	if c.heldBack = !plan.MayStart(&c.urgency, pool.free, pool.capacity); c.heldBack {
@@ -281,6 +285,7 @@
 		number:     number,
 		worker:     w,
 		queue:      c.queue.Name,
+		tenant:     c.job.Tenant,
 		step:       c.step,
 		reserves:   c.step.Reserves(),
 		phase:      runProposed,
@@ -305,9 +310,8 @@
 		r.ticket = c.advice.tickets[w.status.ID].text
 	}
 
-	s.runs[r.task] = r
 	delete(s.waitingSinceFailure, r.task)
-	w.add(r)
+	s.addRun(r)
 
 	return r
 }
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -26,10 +26,12 @@
 
 // run is the scheduler's view of one run of a task.
 type run struct {
-	task     mill.TaskID
-	number   int
-	worker   *worker
-	queue    string
+	task   mill.TaskID
+	number int
+	worker *worker
+	queue  string
+	// tenant is the name of the job's tenant; "" for none.
+	tenant   string
 	step     *mill.Step
 	reserves mill.Resources
 	phase    runPhase
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -385,7 +385,8 @@
 		return
 	}
 
-	log.Info().Str("step", w.Step.String()).Str("queue", w.Queue).Dur("wait", w.Wait).
+	log.Info().Str("step", w.Step.String()).Str("queue", w.Queue).Str("tenant", w.Tenant).
+		Str("reason", string(w.Reason)).Dur("wait", w.Wait).
 		Int("tasks", w.Tasks).Bool("gang", w.Gang).Int("asked", w.Asked).Int("allowed", w.Allowed).
 		Int("fitting", w.Fitting).Int("onProbation", w.OnProbation).Int("failedOn", w.Failed).
 		Int("reserved", w.Reserved).Bool("heldBack", w.HeldBack).
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -25,6 +25,10 @@
 	// runs holds the runs that may be active on a worker, and those whose placement is not
 	// committed yet.
 	runs map[mill.TaskID]*run
+	// tenants holds what the runs of each tenant take, by the tenant's name, and setupIndex is that of the setup at the last
+	// plan.
+	tenants    map[string]*tenantUse
+	setupIndex *mill.SetupIndex
 	// ordersDue holds the runs that may need a start or stop order.
 	ordersDue        map[*run]struct{}
 	advice           map[mill.StepID]*advice
@@ -105,6 +109,8 @@
 		placer:           placer,
 		workers:          make(map[string]*worker),
 		runs:             make(map[mill.TaskID]*run),
+		tenants:          make(map[string]*tenantUse),
+		setupIndex:       state.SetupIndex(),
 		ordersDue:        make(map[*run]struct{}),
 		advice:           make(map[mill.StepID]*advice),
 		advisorAddresses: make(map[string]*advisorAddress),
@@ -153,6 +159,7 @@
 		number:     task.Run,
 		worker:     s.worker(task.Worker),
 		queue:      job.Queue.Name,
+		tenant:     job.Tenant,
 		step:       step,
 		reserves:   step.Reserves(),
 		phase:      runInherited,
@@ -165,9 +172,8 @@
 		s.joinGang(r, job, &job.Occurrences[id.Occurrence].Steps[id.Step])
 	}
 
-	s.runs[id] = r
 	r.worker.mayHoldInherited = true
-	r.worker.add(r)
+	s.addRun(r)
 }
 
 func (s *Scheduler) worker(id string) *worker {
@@ -302,6 +308,7 @@
 
 	s.plannedAt = now
 	s.examinedWorkers = 0
+	s.updateTenants(state.SetupIndex())
 	s.stopUnwanted(state)
 	s.settle(&actions, now)
 
@@ -309,6 +316,7 @@
 	s.recordIdle(candidates, now)
 	p := s.newPass(now, wallMilli, state)
 	actions.Commands = append(actions.Commands, s.place(candidates, p)...)
+	s.applyLimits(candidates)
 	actions.Commands = append(actions.Commands, s.updateWorkerRecords()...)
 	actions.Commands = append(actions.Commands, s.maintenanceCommands...)
 	s.maintenanceCommands = nil
--- a/internal/lead/waiting_step.go
+++ b/internal/lead/waiting_step.go
@@ -9,11 +9,20 @@
 // minLoggedWait is how long a step must wait to be described: a request for advice takes about as long.
 const minLoggedWait = 2 * time.Second
 
+// WaitReason is why a step waits beside room for it.
+type WaitReason string
+
+// WaitTenantLimit means that the limit of the job's tenant lets no task of the step start.
+const WaitTenantLimit WaitReason = "tenantLimit"
+
 // WaitingStep describes why a step waits, for logs.
 type WaitingStep struct {
 	Step  mill.StepID
 	Queue string
 	Wait  time.Duration
+	// Tenant is the tenant of the step's job; "" for none. Reason is empty if the other fields say why the step waits.
+	Tenant string
+	Reason WaitReason
 	// Tasks is the number of tasks that wait, and Gang says that they must start together.
 	Tasks int
 	Gang  bool
@@ -38,7 +47,7 @@
 	s.longestWait = nil
 
 	for _, c := range candidates {
-		if len(c.waiting) == 0 {
+		if len(c.waiting)+len(c.withheld) == 0 {
 			continue
 		}
 
@@ -75,8 +84,12 @@
 	}
 
 	w := WaitingStep{
-		Step: c.id, Queue: c.queue.Name, Wait: s.waitOf(c, now), Tasks: len(c.waiting), Gang: c.step.Gang,
-		HeldBack: c.heldBack,
+		Step: c.id, Queue: c.queue.Name, Tenant: c.job.Tenant, Wait: s.waitOf(c, now),
+		Tasks: len(c.waiting) + len(c.withheld), Gang: c.step.Gang, HeldBack: c.heldBack,
+	}
+
+	if c.atLimit() {
+		w.Reason = WaitTenantLimit
 	}
 
 	if c.advice != nil {
