Bound what clients take of a process's memory and descriptors

Cause: each connection could have a body of 4 MiB read before any limit of the setup was checked, what JSON is decoded into was not counted, answers that nobody reads were kept, and nothing bounded the accepted connections.

Change: package intake holds one budget of bytes in flight and the connections of each process, from memory_mb and max_fds, for all its HTTP servers. Lengths are compared with the limits in force and reserved before the body is read (413, 431, 503 with Retry-After); what arrives without a length, decoded JSON and unread answers are reserved as well; 8 KiB of each request and answer are free, so that ordinary requests are served when the budget is used up. Slow clients lose their places, and at the bound of connections the one that has been idle longest is closed. The product's own entry takes in requests the same way.

--- a/internal/conns/budget.go
+++ b/internal/conns/budget.go
@@ -47,6 +47,18 @@
 	return b
 }
 
+// AcceptLimit returns how many connections a process may accept that may have maxDescriptors open, where 0 means that the
+// limit is not known: they get the descriptors that no Budget gives to opened ones.
+func AcceptLimit(maxDescriptors int) int {
+	if maxDescriptors <= 0 {
+		return defaultBudget
+	}
+
+	descriptors := maxDescriptors - reservedDescriptors
+
+	return max(1, descriptors-descriptors/dialedShare)
+}
+
 // Dial opens a connection by calling open, or returns ErrExhausted without calling it.
 func (b *Budget) Dial(open func() (net.Conn, error)) (net.Conn, error) {
 	if b.open.Add(1) > b.max() {
--- a/internal/conns/doc.go
+++ b/internal/conns/doc.go
@@ -1,3 +1,3 @@
-// Package conns limits the connections that a process opens, so that it keeps descriptors for the connections that it
-// accepts, and for its files.
+// Package conns limits the connections that a process opens and accepts, so that it keeps descriptors for both, and for
+// its files.
 package conns
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -1,54 +1,72 @@
 package entry
 
 import (
-	"io"
+	"math"
 	"strconv"
+	"strings"
+	"syscall"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
+
+	"github.com/cranberrymill/cranberrymill/internal/conf"
+	"github.com/cranberrymill/cranberrymill/internal/intake"
 )
 
 const (
-	// discardLimit and discardTimeout bound how much of a rejected body is read and discarded.
-	// If it were left unread, a caller that is still sending would get a connection reset
-	// instead of the response.
-	discardLimit   = 64 << 20
-	discardTimeout = 5 * time.Second
+	maxHeaderBytes = 4 << 10
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = time.Minute
 )
 
-// readBody reads the body into the request. If that fails, it responds with an error and returns false.
-func (e *Entry) readBody(ctx *fasthttp.RequestCtx) bool {
-	stream := ctx.RequestBodyStream()
-	if stream == nil {
-		return true
-	}
-
-	limit := e.settings.Limits.BodyBytes
+// newGate returns the gate of an entry.
+func newGate(settings *conf.Settings, scope tally.Scope) *intake.Gate {
+	return intake.NewGate(&intake.Config{
+		MemoryBytes: settings.Limits.MemoryMiB << 20, MaxDescriptors: maxDescriptors(), HeaderBytes: maxHeaderBytes,
+		Scope: scope,
+	})
+}
 
-	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
-	if err != nil {
-		e.respond(ctx, notRun(fasthttp.StatusBadRequest, "request body truncated"))
-		ctx.SetConnectionClose()
+// maxDescriptors returns how many descriptors this process may have open, or 0 if that is not known.
+func maxDescriptors() int {
+	var limit syscall.Rlimit
 
-		return false
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
 	}
 
-	if len(body) > limit {
-		e.rejectBody(ctx, stream)
+	return int(min(limit.Cur, math.MaxInt32))
+}
 
-		return false
+func (e *Entry) intakeLimits() intake.Limits {
+	return intake.Limits{
+		HeaderBytes: maxHeaderBytes, BodyBytes: e.settings.Limits.BodyBytes,
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
+}
 
-	ctx.Request.SetBody(body)
+// intakeCost returns the memory of the values into which a call of the system's own API is decoded, or that of the copy
+// of a request that an upstream gets.
+func intakeCost(ctx *fasthttp.RequestCtx, body []byte) int64 {
+	if strings.HasPrefix(string(ctx.Request.Header.RequestURI()), systemPrefix) {
+		return intake.DecodedBytes(body)
+	}
 
-	return true
+	return int64(len(body))
 }
 
-func (e *Entry) rejectBody(ctx *fasthttp.RequestCtx, stream io.Reader) {
-	_ = ctx.Conn().SetReadDeadline(time.Now().Add(discardTimeout))
-	_, _ = io.CopyN(io.Discard, stream, discardLimit)
+// rejectRequest responds to a request that is not taken in.
+func (e *Entry) rejectRequest(ctx *fasthttp.RequestCtx, status int, reason string) {
+	text := "request refused: " + reason
+
+	switch status {
+	case fasthttp.StatusRequestEntityTooLarge:
+		text = "request body is larger than " + strconv.Itoa(e.settings.Limits.BodyBytes) + " bytes"
+	case fasthttp.StatusBadRequest:
+		text = "request body truncated"
+	default:
+	}
 
-	e.respond(ctx, notRun(fasthttp.StatusRequestEntityTooLarge,
-		"request body is larger than "+strconv.Itoa(e.settings.Limits.BodyBytes)+" bytes"))
-	ctx.SetConnectionClose()
+	e.respond(ctx, notRun(status, text))
 }
--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -94,13 +94,14 @@
 		ID: "u", Incarnation: 1, Service: "booking", Address: upstreams.Addr().String(), Slots: 8, Connections: 64,
 	}, 0, time.Now())
 
+	server, port := e.newServer()
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &drainingEntry{
 		entry: e, address: callers.Addr().String(), stop: cancel, done: make(chan error, 1), upstream: upstreams,
-		server: e.newServer(),
+		server: server,
 	}
 
-	go func() { _ = d.server.Serve(callers) }()
+	go func() { _ = d.server.Serve(port.Listen(callers)) }()
 	go func() { d.done <- e.drainAfter(ctx, d.server) }()
 
 	return d, nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/cranberrymill/cranberrymill/internal/conf"
 	"github.com/cranberrymill/cranberrymill/internal/ctrl"
 	"github.com/cranberrymill/cranberrymill/internal/httpd"
+	"github.com/cranberrymill/cranberrymill/internal/intake"
 	"github.com/cranberrymill/cranberrymill/internal/ledger"
 	"github.com/cranberrymill/cranberrymill/internal/meter"
 	"github.com/cranberrymill/cranberrymill/internal/route"
@@ -43,6 +44,7 @@
 	remote        *remoteServices
 	dispatchPool  *ants.Pool
 	recordPool    *ants.Pool
+	gate          *intake.Gate
 	health        httpd.Health
 	meter         *meter.Meter
 	metrics       metrics
@@ -70,6 +72,7 @@
 	}
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.metrics = newMetrics(e.meter.Scope())
+	e.gate = newGate(settings, e.meter.Scope())
 	e.health.SetMetrics(e.meter.Handler())
 	e.control = ctrl.NewWatcher(e.client, settings.ClusterMap().Voters(vm))
 	e.ledgers = ledger.NewClient(e.ctx, e.client, e.control, settings.ClusterMap().Stores())
@@ -95,7 +98,7 @@
 		return err
 	}
 
-	server := e.newServer()
+	server, port := e.newServer()
 
 	// A task that fails triggers a planned stop.
 	tasks, ctx := errgroup.WithContext(ctx)
@@ -104,7 +107,8 @@
 	tasks.Go(func() error { return e.runGossip(e.ctx) })
 	tasks.Go(func() error { return e.followPreset(e.ctx) })
 	tasks.Go(func() error { return e.newPeerServer().Serve(e.ctx, peerListener) })
-	tasks.Go(func() error { return server.Serve(callerListener) })
+	tasks.Go(func() error { return server.Serve(port.Listen(callerListener)) })
+	tasks.Go(func() error { return e.gate.Run(e.ctx) })
 	tasks.Go(func() error { return e.drainAfter(ctx, server) })
 
 	e.health.SetReady(true)
@@ -183,17 +187,22 @@
 	return e.settings.Limits.RingCapacity
 }
 
-func (e *Entry) newServer() *fasthttp.Server {
-	return &fasthttp.Server{
+// newServer returns the server for callers, and the port by which it takes in requests.
+func (e *Entry) newServer() (*fasthttp.Server, *intake.Port) {
+	server := &fasthttp.Server{
 		Handler:                       httpd.Recover(e.handle),
 		ErrorHandler:                  e.rejectMalformed,
-		StreamRequestBody:             true,
 		DisableHeaderNamesNormalizing: true,
 		NoDefaultServerHeader:         true,
 		NoDefaultContentType:          true,
 		CloseOnShutdown:               true,
 		Logger:                        discardLogger{},
 	}
+	port := intake.NewPort(e.gate, server, intake.PortConfig{
+		MaxHeaderBytes: maxHeaderBytes, Limits: e.intakeLimits, Cost: intakeCost, Answer: e.rejectRequest,
+	})
+
+	return server, port
 }
 
 // discardLogger drops the messages that fasthttp logs about broken connections.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -22,6 +23,19 @@
 	intent           *intent
 	// localOnly is set for a request that another data centre forwarded: it must not be forwarded again.
 	localOnly bool
+	// users counts those who still use the request; release is called once there are none.
+	users   atomic.Int64
+	release func()
+}
+
+// retain notes one more user of the request.
+func (x *exchange) retain() { x.users.Add(1) }
+
+// done notes that a user no longer needs the request.
+func (x *exchange) done() {
+	if x.users.Add(-1) == 0 && x.release != nil {
+		x.release()
+	}
 }
 
 // intent identifies the record of a request with an idempotency key in the ledger.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -11,7 +11,7 @@
 
 // handle serves an HTTP request.
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
-	if e.health.Handle(ctx) || !e.readBody(ctx) {
+	if e.health.Handle(ctx) {
 		return
 	}
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/cranberrymill/cranberrymill/internal/intake"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -40,6 +41,12 @@
 		return
 	}
 
+	// The exchange may continue after the caller has its response, with its copy of the body.
+	x.release = intake.Keep(ctx)
+
+	x.retain()
+	defer x.done()
+
 	ctx.Response.Header.Set(mill.HeaderRequestID, x.id)
 
 	if isWatcher(&ctx.Request.Header) {
@@ -188,13 +195,16 @@
 	done := make(chan result, 1)
 
 	e.inFlight.Add(1)
+	x.retain()
 
 	err := e.dispatchPool.Submit(func() {
 		defer e.inFlight.Add(-1)
+		defer x.done()
 		e.perform(x, pool, u, done)
 	})
 	if err != nil {
 		e.inFlight.Add(-1)
+		x.done()
 		pool.release(u, 0)
 
 		return notRun(fasthttp.StatusServiceUnavailable, "too many requests are being dispatched")
--- a/internal/entry/test_cluster_test.go
+++ b/internal/entry/test_cluster_test.go
@@ -298,7 +298,7 @@
 		}
 
 		listener := fasthttputil.NewInmemoryListener()
-		server := e.newServer()
+		server, _ := e.newServer()
 
 		go func() { _ = server.Serve(listener) }()
 
