Weigh waiting for a rack against a longer run elsewhere

A step with a data rack, or a gang that wants one rack, took whatever room there was, though its run then takes far_factor times as long. The plan now decides for each task from the expected time until there is room, the job's objective and the core-seconds that the longer run takes from others.

--- a/internal/lead/advice_requests.go
+++ b/internal/lead/advice_requests.go
@@ -55,7 +55,7 @@
 		}
 
 		unknown := func(w *worker) bool { return !c.advice.answeredFor[w.status.ID] }
-		if workers := p.pool(c).mostFreeIDs(c, s.adviceNames(c), unknown); len(workers) > 0 {
+		if workers := s.withRackFirst(c, p.pool(c).mostFreeIDs(c, s.adviceNames(c), unknown), p); len(workers) > 0 {
 			p.request(s.newAdviceRequest(c, p.nextAddress(), workers))
 		}
 	}
@@ -65,6 +65,8 @@
 // worker costs the advisor little compared with the request itself, and knowing the answer early
 // saves a request when capacity becomes free.
 func (s *Scheduler) addUnknownWorkers(c *candidate, p *pass) []string {
+	c.adviceWanted = s.withRackFirst(c, c.adviceWanted, p)
+
 	known := func(id string) bool { return c.advice.answeredFor[id] }
 	if !slices.ContainsFunc(c.adviceWanted, func(id string) bool { return !known(id) }) {
 		return c.adviceWanted
--- a/internal/lead/backlog.go
+++ b/internal/lead/backlog.go
@@ -33,6 +33,7 @@
 		}
 	}
 
+	s.forgetRackWaits(state)
 	plan.SortByUrgency(found, func(c *candidate) *plan.Urgency { return &c.urgency })
 
 	return found
--- a/internal/lead/bounds.go
+++ b/internal/lead/bounds.go
@@ -26,6 +26,9 @@
 	// MaxLeaseDelay is how long after it was granted a lease may begin: where leases count from the
 	// order's arrival, a delayed order brings a delayed lease.
 	MaxLeaseDelay time.Duration
+	// FarFactor is how many times as long a task takes off the rack with its data, or a gang over several racks. With 0 or 1,
+	// no task waits for a rack; plan.LearnFarFactor learns it.
+	FarFactor float64
 }
 
 // orderTimeout returns how long an order may stay unanswered.
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -93,6 +93,10 @@
 	now time.Time
 	// overdue says that the step starts in any room there is, also in what is reserved; see plan.Overdue.
 	overdue bool
+	// heldForRack is how many tasks wait for a rack beside room elsewhere, and away says that a gang runs on workers where it
+	// takes longer.
+	heldForRack int
+	away        bool
 }
 
 func countWaiting(candidates []*candidate) int {
--- a/internal/lead/events.go
+++ b/internal/lead/events.go
@@ -18,6 +18,8 @@
 	EventPreempt EventKind = "run preempted"
 	// EventSuspect is a run that is suspected of having crashed its worker.
 	EventSuspect EventKind = "run suspected of a crash"
+	// EventRack is a decision about tasks that want a rack. Its run and worker are not set.
+	EventRack EventKind = "rack decided"
 )
 
 // maxEvents bounds the events that wait to be logged; further ones are dropped.
--- a/internal/lead/finish.go
+++ b/internal/lead/finish.go
@@ -74,6 +74,8 @@
 // recordRunTime updates the run time estimates and the worker's slowness, or that of a gang's workers, with a run that was
 // executed from the beginning.
 func (s *Scheduler) recordRunTime(r *run, took time.Duration) {
+	took = s.nearTime(r, took)
+
 	if s.estimates.HasHistory(r.queue) {
 		expected := s.estimates.Correct(r.queue, r.step.Estimate)
 
--- a/internal/lead/load_simulation_test.go
+++ b/internal/lead/load_simulation_test.go
@@ -68,6 +68,10 @@
 	queues  []*loadQueue
 	workers map[string]*loadWorker
 	jobs    map[string]*loadJob
+	// shape, unless nil, changes the steps that are submitted. slowdown, unless nil, returns how many times as long a run
+	// takes on a worker, and is told of each start.
+	shape    func(q *loadQueue, step *mill.Step)
+	slowdown func(run mill.RunRef, step *mill.Step, w *loadWorker) float64
 	// countFrom is when the jobs are submitted whose times count.
 	countFrom time.Time
 }
@@ -188,6 +192,10 @@
 			step.After = []int{index - 1}
 		}
 
+		if l.shape != nil {
+			l.shape(q, &step)
+		}
+
 		chain += step.Estimate
 		work.Steps = append(work.Steps, step)
 	}
@@ -326,7 +334,14 @@
 
 	job, ok := l.state.Job(run.Task.Job)
 	if ok && l.jobs[run.Task.Job].queue.stays == 0 && !job.Finished() {
-		length := time.Duration(float64(job.Work.Steps[run.Task.Step].Estimate) * (0.8 + 0.4*l.random.Float64()))
+		step := &job.Work.Steps[run.Task.Step]
+		// The lengths do not depend on the order of the starts, so that policies can be compared on the same jobs.
+		length := time.Duration(float64(step.Estimate) * (0.8 + 0.004*float64(percentOf(run.Task.String()))))
+
+		if l.slowdown != nil {
+			length = time.Duration(float64(length) * l.slowdown(run, step, w))
+		}
+
 		l.after(length, func() { l.finish(w, run, mill.FinishDone) })
 	}
 
--- a/internal/lead/metrics.go
+++ b/internal/lead/metrics.go
@@ -19,6 +19,7 @@
 	usable    tally.Gauge
 	busy      tally.Gauge
 	standing  tally.Gauge
+	racks     rackMetrics
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -36,6 +37,7 @@
 		usable:    scope.Gauge("usable_workers"),
 		busy:      scope.Gauge("busy_advisor_addresses"),
 		standing:  scope.Gauge("standing_jobs"),
+		racks:     newRackMetrics(scope),
 	}
 
 	for _, cause := range []mill.FinishCause{
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -39,7 +39,7 @@
 	}
 
 	commands := s.placeTasks(c, len(c.waiting), p)
-	if len(c.waiting) == 0 {
+	if len(c.waiting) == c.heldForRack {
 		return commands
 	}
 
@@ -117,7 +117,7 @@
 		chosen = plan.PlaceTasks(described, c.demand(), count, s.placer, nil)
 	}
 
-	return chosen, workers
+	return s.holdForRack(c, chosen, count, workers, p), workers
 }
 
 // maxAvoidTime is how long a task waits for a worker on which it has not failed. Attempts are
@@ -293,6 +293,7 @@
 		isolating:    c.isolated,
 
 		earlierSuspicion: task.Suspicion,
+		away:             c.awayOn(w),
 	}
 
 	if c.step.Gang {
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -36,6 +36,7 @@
 	withoutPlace map[roomDemand]bool
 	// victims holds the urgency of the steps whose runs were considered for preemption.
 	victims map[mill.StepID]plan.Urgency
+	racks   rackPass
 }
 
 // newPass returns a pass in which no capacity is reserved and no advice is requested yet.
@@ -111,17 +112,21 @@
 
 // pool returns the workers for a step.
 func (p *pass) pool(c *candidate) *pool {
-	if p.pools == nil {
-		p.pools = p.findPools()
-	}
-
-	if found, ok := p.pools[c.queue.Service]; ok {
+	if found, ok := p.poolsByService()[c.queue.Service]; ok {
 		return found
 	}
 
 	return emptyPool
 }
 
+func (p *pass) poolsByService() map[string]*pool {
+	if p.pools == nil {
+		p.pools = p.findPools()
+	}
+
+	return p.pools
+}
+
 func (p *pool) add(w *worker) {
 	free, capacity := w.free(), w.status.Capacity
 
--- a/internal/lead/preempt.go
+++ b/internal/lead/preempt.go
@@ -177,7 +177,7 @@
 		return longRunningRemaining
 	}
 
-	duration := s.estimates.Correct(r.queue, r.step.Estimate)
+	duration := time.Duration(s.runFactor(r) * float64(s.estimates.Correct(r.queue, r.step.Estimate)))
 	if r.startedAt.IsZero() {
 		return duration
 	}
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -64,6 +64,8 @@
 	// says that the worker takes no other new run until this one is proven.
 	earlierSuspicion int
 	isolating        bool
+	// away says that the run is not on the rack that suits it and takes longer; not known for runs of an earlier leader.
+	away bool
 	// proven says that the worker has listed the run for long enough that starting it has not crashed the worker.
 	proven bool
 	// workerCrashed says that the worker seems to have crashed since the run started on it. suspects is the number of
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -361,6 +361,7 @@
 	r.dependencies.View(func(state *jobs.State) {
 		s := r.scheduler.Summary(now, state)
 		r.metrics.setGauges(&s)
+		r.metrics.racks.add(r.scheduler.TakeRackCounts())
 
 		log.Info().Int("open", s.OpenJobs).Int("waitingSteps", s.WaitingSteps).Int("asking", s.PendingAdvice).Int("runs", s.Runs).
 			Int("doubtful", s.Doubtful).Int("workers", s.Workers).Int("usable", s.UsableWorkers).
@@ -389,6 +390,7 @@
 		Int("tasks", w.Tasks).Bool("gang", w.Gang).Int("asked", w.Asked).Int("allowed", w.Allowed).
 		Int("fitting", w.Fitting).Int("onProbation", w.OnProbation).Int("failedOn", w.Failed).
 		Int("reserved", w.Reserved).Bool("heldBack", w.HeldBack).
+		Int("waitForRack", w.WaitForRack).Str("rack", w.Rack).Str("rackReason", w.RackReason).
 		Msg("step waits")
 }
 
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -76,6 +76,7 @@
 	idleSince      map[mill.StepID]time.Time
 	lastCandidates []*candidate
 	standstills    standstills
+	racks          rackWaits
 }
 
 // advisorAddress is the address of a process that forwards requests to the advisor, one at a time.
--- a/internal/lead/waiting_step.go
+++ b/internal/lead/waiting_step.go
@@ -30,6 +30,11 @@
 	// is deferrable and left out while the pool is nearly full.
 	Reserved int
 	HeldBack bool
+	// WaitForRack counts the tasks that wait for a rack beside room elsewhere, Rack is the rack with their data, "" for any
+	// one rack, and RackReason says why they do so, or why others don't.
+	WaitForRack int
+	Rack        string
+	RackReason  string
 }
 
 // recordWaits notes since when each step waits.
@@ -76,7 +81,11 @@
 
 	w := WaitingStep{
 		Step: c.id, Queue: c.queue.Name, Wait: s.waitOf(c, now), Tasks: len(c.waiting), Gang: c.step.Gang,
-		HeldBack: c.heldBack,
+		HeldBack: c.heldBack, WaitForRack: c.heldForRack, Rack: c.step.DataRack,
+	}
+
+	if known, ok := s.racks.steps[c.id]; ok {
+		w.RackReason = string(known.reason)
 	}
 
 	if c.advice != nil {
