--- a/internal/lead/load_racks_test.go
+++ b/internal/lead/load_racks_test.go
@@ -38,7 +38,6 @@
 	extraTime float64
 	submitted map[string]time.Time
 	firsts    []time.Duration
-	lost      map[string]bool
 }
 
 // rackPolicy decides whether tasks wait; nil selects the scheduler's own decision.
@@ -62,7 +61,7 @@
 			now: simStart, planTime: loadPlanTime, random: rand.New(rand.NewPCG(seed, seed)), state: jobs.NewState(),
 			queues: loadQueues(), workers: make(map[string]*loadWorker), jobs: make(map[string]*loadJob),
 		},
-		racks: rand.New(rand.NewPCG(seed, 1)), submitted: make(map[string]time.Time), lost: make(map[string]bool),
+		racks: rand.New(rand.NewPCG(seed, 1)), submitted: make(map[string]time.Time),
 	}
 
 	r.shape, r.slowdown = r.chooseRack, r.started
@@ -175,7 +174,8 @@
 	}
 
 	result.text = fmt.Sprintf("in time %4d, late%s, first start %4d ms, 95 %% %4d ms, %5.0f core-s away", result.inTime,
-		result.text, (sum / time.Duration(max(1, len(r.firsts)))).Milliseconds(), r.firsts[len(r.firsts)*95/100].Milliseconds(), r.extraTime)
+		result.text, (sum / time.Duration(max(1, len(r.firsts)))).Milliseconds(), r.firsts[len(r.firsts)*95/100].Milliseconds(),
+		r.extraTime)
 
 	return result
 }
@@ -235,6 +235,24 @@
 	}
 }
 
+// TestBurst prints what each policy brings when three times as many short jobs arrive for some seconds.
+func TestBurst(t *testing.T) {
+	playAll(t, func(r *rackSimulation) {
+		lookup := r.queues[0]
+		lookup.perSecond *= 3
+		r.after(5*time.Second, func() { lookup.perSecond /= 3 })
+	}, func(*rackSimulation) {})
+}
+
+// TestLostRack prints what each policy brings after a rack has lost its power: its data are wanted all the same.
+func TestLostRack(t *testing.T) {
+	playAll(t, func(r *rackSimulation) {
+		for _, w := range r.workers {
+			w.lost = w.status.Rack == hotRack
+		}
+	}, func(*rackSimulation) {})
+}
+
 // TestCalmDay expects waiting by value to serve as many jobs in time as starting all of them at once.
 func TestCalmDay(t *testing.T) {
 	results := playAll(t, func(*rackSimulation) {}, func(*rackSimulation) {})
--- a/internal/lead/load_simulation_test.go
+++ b/internal/lead/load_simulation_test.go
@@ -49,6 +49,8 @@
 	// renewal is the one that waits for its answer, and sentAt when the leader sent it.
 	renewal *Renew
 	sentAt  time.Time
+	// lost says that the worker has no power.
+	lost bool
 }
 
 // loadSimulation is a leader under the load of the large deployment, 1,100 workers and 65 jobs a second, in simulated
@@ -154,6 +156,10 @@
 }
 
 func (l *loadSimulation) report(w *loadWorker) {
+	if w.lost {
+		return
+	}
+
 	w.status.Sequence++
 	w.status.ClockMilli = l.clockMilli()
 	status, at := w.status, l.now
@@ -329,6 +335,12 @@
 
 func (l *loadSimulation) start(start *Start) {
 	w := l.workers[start.To.ID]
+	if w.lost {
+		l.update(func() { l.scheduler.StartAnswered(start, mill.OrderReply{Outcome: mill.OutcomeUnreachable}, l.now) })
+
+		return
+	}
+
 	run := mill.RunRef{Task: start.Order.Task, Run: start.Order.Run}
 	w.running[run.Task] = mill.RunStatus{RunRef: run, Percent: fullPercent}
 
@@ -351,6 +363,10 @@
 
 func (l *loadSimulation) stop(stop *Stop) {
 	w := l.workers[stop.To.ID]
+	if w.lost {
+		return
+	}
+
 	l.after(loadStopTime, func() { l.finish(w, stop.Run, mill.FinishStopped) })
 
 	reply := l.accepted()
@@ -358,7 +374,7 @@
 }
 
 func (l *loadSimulation) finish(w *loadWorker, run mill.RunRef, cause mill.FinishCause) {
-	if status, ok := w.running[run.Task]; !ok || status.Run != run.Run {
+	if status, ok := w.running[run.Task]; !ok || status.Run != run.Run || w.lost {
 		return
 	}
 
@@ -370,6 +386,13 @@
 
 func (l *loadSimulation) renew(renewal *Renew, sentAt time.Time) {
 	w := l.workers[renewal.To.ID]
+	if w.lost {
+		reply := &mill.RenewReply{OrderReply: mill.OrderReply{Outcome: mill.OutcomeUnreachable}}
+		l.update(func() { l.scheduler.RenewAnswered(renewal, reply, sentAt, l.now) })
+
+		return
+	}
+
 	w.renewal, w.sentAt = renewal, sentAt
 
 	for len(w.finished) > 0 && w.finished[0].Number <= renewal.Order.Acknowledged {
@@ -391,7 +414,7 @@
 
 func (l *loadSimulation) answerRenewal(w *loadWorker) {
 	renewal, sentAt := w.renewal, w.sentAt
-	if renewal == nil {
+	if renewal == nil || w.lost {
 		return
 	}
 
--- a/internal/lead/rack_wait.go
+++ b/internal/lead/rack_wait.go
@@ -68,6 +68,12 @@
 		return chosen
 	}
 
+	if s.farFactor(c.queue.Name) <= 1 {
+		c.away = c.step.Gang && !c.suitsGang(chosen, workers) // Runs tell the factor while it is not known.
+
+		return chosen
+	}
+
 	if c.step.Gang {
 		return s.holdGang(c, chosen, workers, p)
 	}
