--- a/internal/lead/fuzz_test.go
+++ b/internal/lead/fuzz_test.go
@@ -111,6 +111,11 @@
 	default:
 	}
 
+	if d.sim.farFactor > 1 {
+		step.DataRack = rapid.SampledFrom([]string{"", "r0", "r1", "r9"}).Draw(t, "rack")
+		step.SameRack = step.Gang && rapid.Bool().Draw(t, "one rack")
+	}
+
 	return step
 }
 
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -116,6 +116,8 @@
 	unreadable func(command *jobs.Command) bool
 	// withoutReports makes new leaders begin before any worker has reported to them.
 	withoutReports bool
+	// farFactor is that of the next leader's bounds; steps want racks if it is over 1.
+	farFactor float64
 	// choices numbers the decisions that are derived from a hash instead of the test's seed.
 	choices uint64
 	// advisorAddresses are those through which the advisor can be asked, one request at a time, and decideTime is how long
@@ -255,7 +257,7 @@
 
 	bounds := Bounds{
 		MaxLease: simMaxLease, GangTimeout: simGangTimeout, MaxStopTime: simStopTime, MaintenanceTime: simMaintenanceTime,
-		CapacityDelay: simContact + simReportInterval,
+		CapacityDelay: simContact + simReportInterval, FarFactor: sim.farFactor,
 	}
 	sim.leader = &leader{scheduler: New(bounds, term, sim.now, sim.state, place.Pack{}), term: term}
 
