Check setups of the platform offline

A setup with a route that can never match, or with a name that is used twice, was noticed only once it was in force. platform check decodes a setup with the server's code, warns of what contradicts itself, and lists the differences from another setup without showing keys.

--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -18,9 +18,10 @@
 
 // The exit codes of the program.
 const (
-	exitOK      = 0
-	exitRefused = 1
-	exitUsage   = 2
+	exitOK       = 0
+	exitRefused  = 1
+	exitUsage    = 2
+	exitWarnings = 3
 )
 
 // errRefused means that the system understood a request and refused it.
@@ -95,5 +96,9 @@
 		return exitUsage
 	}
 
+	if errors.Is(err, errWarnings) {
+		return exitWarnings
+	}
+
 	return exitRefused
 }
--- a/internal/cmds/table.go
+++ b/internal/cmds/table.go
@@ -10,6 +10,7 @@
 		cmdSched(),
 		cmdPlatformEntry(),
 		cmdPlatformStore(),
+		cmdPlatformCheck(),
 		cmdCheck(),
 		cmdApply(),
 		cmdPresetShow(),
@@ -32,7 +33,7 @@
 	return map[string]string{
 		"preset":   "Show or switch the preset in force.",
 		"job":      "Submit, inspect and cancel jobs.",
-		"platform": "Run a process on the users' platform.",
+		"platform": "Run a process on the users' platform, or check a setup of it.",
 		"store":    "Run the store of this VM, or create the control log on it.",
 	}
 }
