--- a/internal/lead/bench_test.go
+++ b/internal/lead/bench_test.go
@@ -76,6 +76,18 @@
 	return state, scheduler
 }
 
+// benchmarkPlace plans once and commits the placements.
+func benchmarkPlace(state *jobs.State, scheduler *Scheduler) {
+	actions := scheduler.Next(simStart, simStart.UnixMilli(), state)
+	results := make([]jobs.Result, 0, len(actions.Commands))
+
+	for i := range actions.Commands {
+		results = append(results, state.Apply(&actions.Commands[i]))
+	}
+
+	scheduler.Committed(actions.Commands, results, nil, simStart)
+}
+
 func benchmarkSubmit(state *jobs.State, id, queue string, count int, milliCores int64) {
 	work := mill.Workload{Steps: []mill.Step{{
 		Count: count, PerTask: mill.Resources{MilliCores: milliCores}, Estimate: time.Second,
@@ -99,14 +111,7 @@
 		benchmarkSubmit(state, fmt.Sprintf("open%d", i), "free", tasksEach, 500)
 	}
 
-	actions := scheduler.Next(simStart, simStart.UnixMilli(), state)
-	results := make([]jobs.Result, 0, len(actions.Commands))
-
-	for i := range actions.Commands {
-		results = append(results, state.Apply(&actions.Commands[i]))
-	}
-
-	scheduler.Committed(actions.Commands, results, nil, simStart)
+	benchmarkPlace(state, scheduler)
 
 	for i := range waiting {
 		benchmarkSubmit(state, fmt.Sprintf("wait%d", i), "advised", 25, 1000)
@@ -145,14 +150,7 @@
 		submit(fmt.Sprintf("small%d", i), mill.Step{Count: 40, PerTask: mill.Resources{MilliCores: 5600, Accelerators: 1}})
 	}
 
-	actions := scheduler.Next(simStart, simStart.UnixMilli(), state)
-	results := make([]jobs.Result, 0, len(actions.Commands))
-
-	for i := range actions.Commands {
-		results = append(results, state.Apply(&actions.Commands[i]))
-	}
-
-	scheduler.Committed(actions.Commands, results, nil, simStart)
+	benchmarkPlace(state, scheduler)
 
 	for _, r := range scheduler.runs {
 		scheduler.markStarted(r, simStart)
--- a/internal/lead/load_racks_test.go
+++ b/internal/lead/load_racks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -9,8 +10,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/cranberrymill/cranberrymill/internal/jobs"
-	"github.com/cranberrymill/cranberrymill/internal/place"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -36,8 +35,8 @@
 	hotPercent int
 	// extraTime adds up the core-seconds that runs take longer for being away.
 	extraTime float64
-	submitted map[string]time.Time
-	firsts    []time.Duration
+	// firsts holds how long the jobs that count have waited for their first start.
+	firsts map[string]time.Duration
 }
 
 // rackPolicy decides whether tasks wait; nil selects the scheduler's own decision.
@@ -56,59 +55,32 @@
 }
 
 func newRackSimulation(seed uint64, decide rackPolicy) *rackSimulation {
-	r := &rackSimulation{
-		loadSimulation: &loadSimulation{
-			now: simStart, planTime: loadPlanTime, random: rand.New(rand.NewPCG(seed, seed)), state: jobs.NewState(),
-			queues: loadQueues(), workers: make(map[string]*loadWorker), jobs: make(map[string]*loadJob),
-		},
-		racks: rand.New(rand.NewPCG(seed, 1)), submitted: make(map[string]time.Time),
-	}
-
-	r.shape, r.slowdown = r.chooseRack, r.started
-	setup := &mill.Setup{Version: 1, Services: []mill.Service{{Name: "small"}, {Name: "large"}}}
-
-	for _, q := range r.queues {
+	queues := loadQueues()
+	for _, q := range queues {
 		q.perSecond *= rackShare * rackLoad
-		setup.Queues = append(setup.Queues, q.Queue)
 	}
 
-	r.state.Apply(&jobs.Command{Setup: setup})
-
-	bounds := Bounds{
-		MaxLease: 10 * time.Second, GangTimeout: 5 * time.Second, MaxStopTime: 900 * time.Millisecond, FarFactor: rackFarFactor,
-	}
-	r.scheduler = New(bounds, 1, r.now, r.state, place.Pack{})
-	r.scheduler.racks.decide = decide
-	r.addRacks()
-	r.registerAddresses()
-
-	for _, q := range r.queues {
-		r.arrive(q)
+	r := &rackSimulation{
+		loadSimulation: newLoadSimulationOf(seed, queues, rackFarFactor, addRackWorkers),
+		racks:          rand.New(rand.NewPCG(seed, 1)), firsts: make(map[string]time.Duration),
 	}
+	r.shape, r.slowdown, r.scheduler.racks.decide = r.chooseRack, r.started, decide
 
 	return r
 }
 
-func (r *rackSimulation) addRacks() {
+func addRackWorkers(l *loadSimulation) {
 	for rack := range rackCount {
 		for i := range smallPerRack {
-			halves := []int64{2, 2, 1, 4}[i%4]
-			r.addRackWorker(fmt.Sprintf("s%d-%d", rack, i), "small", rack,
-				mill.Resources{MilliCores: 8000 * halves, MemoryMiB: 32768 * halves})
+			l.addSmallWorker(fmt.Sprintf("s%d-%d", rack, i), i).status.Rack = fmt.Sprintf("rack%d", rack)
 		}
 
 		for i := range largePerRack {
-			r.addRackWorker(fmt.Sprintf("l%d-%d", rack, i), "large", rack,
-				mill.Resources{MilliCores: 64000, MemoryMiB: 262144, Accelerators: 8})
+			l.addLargeWorker(fmt.Sprintf("l%d-%d", rack, i)).status.Rack = fmt.Sprintf("rack%d", rack)
 		}
 	}
 }
 
-func (r *rackSimulation) addRackWorker(id, service string, rack int, capacity mill.Resources) {
-	r.addWorker(id, service, capacity)
-	r.workers[id].status.Rack = fmt.Sprintf("rack%d", rack)
-}
-
 // chooseRack gives a step the rack that it wants.
 func (r *rackSimulation) chooseRack(q *loadQueue, step *mill.Step) {
 	switch {
@@ -123,10 +95,9 @@
 
 // started returns how many times as long a run takes, and notes the first one of a job.
 func (r *rackSimulation) started(run mill.RunRef, step *mill.Step, w *loadWorker) float64 {
-	if job := r.jobs[run.Task.Job]; job.counts && r.submitted[run.Task.Job].IsZero() {
-		received, _ := r.state.Job(run.Task.Job)
-		r.submitted[run.Task.Job] = r.now
-		r.firsts = append(r.firsts, r.now.Sub(time.UnixMilli(received.UnixMilli)))
+	if _, ok := r.firsts[run.Task.Job]; !ok && r.jobs[run.Task.Job].counts {
+		job, _ := r.state.Job(run.Task.Job)
+		r.firsts[run.Task.Job] = r.now.Sub(time.UnixMilli(job.UnixMilli))
 	}
 
 	away := step.DataRack != "" && step.DataRack != w.status.Rack
@@ -156,8 +127,6 @@
 
 	var result rackResult
 
-	slices.Sort(r.firsts)
-
 	for _, q := range r.queues {
 		if q.stays > 0 {
 			continue
@@ -168,14 +137,13 @@
 		result.text += fmt.Sprintf(" %s %d/%d", q.Name, q.late, q.inTime+q.late)
 	}
 
-	var sum time.Duration
-	for _, first := range r.firsts {
+	firsts, sum := slices.Sorted(maps.Values(r.firsts)), time.Duration(0)
+	for _, first := range firsts {
 		sum += first
 	}
 
 	result.text = fmt.Sprintf("in time %4d, late%s, first start %4d ms, 95 %% %4d ms, %5.0f core-s away", result.inTime,
-		result.text, (sum / time.Duration(max(1, len(r.firsts)))).Milliseconds(), r.firsts[len(r.firsts)*95/100].Milliseconds(),
-		r.extraTime)
+		result.text, (sum / time.Duration(len(firsts))).Milliseconds(), firsts[len(firsts)*95/100].Milliseconds(), r.extraTime)
 
 	return result
 }
--- a/internal/lead/load_simulation_test.go
+++ b/internal/lead/load_simulation_test.go
@@ -79,12 +79,19 @@
 }
 
 func newLoadSimulation(seed uint64) *loadSimulation {
+	return newLoadSimulationOf(seed, loadQueues(), 0, (*loadSimulation).addLoadWorkers)
+}
+
+// newLoadSimulationOf returns a leader under the load of some queues on the workers that a function adds.
+func newLoadSimulationOf(
+	seed uint64, queues []*loadQueue, farFactor float64, addWorkers func(l *loadSimulation),
+) *loadSimulation {
 	l := &loadSimulation{
 		now:      simStart,
 		planTime: loadPlanTime,
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		state:    jobs.NewState(),
-		queues:   loadQueues(),
+		queues:   queues,
 		workers:  make(map[string]*loadWorker),
 		jobs:     make(map[string]*loadJob),
 	}
@@ -96,34 +103,51 @@
 
 	l.state.Apply(&jobs.Command{Setup: setup})
 
-	bounds := Bounds{MaxLease: 10 * time.Second, GangTimeout: 5 * time.Second, MaxStopTime: 900 * time.Millisecond}
+	bounds := Bounds{
+		MaxLease: 10 * time.Second, GangTimeout: 5 * time.Second, MaxStopTime: 900 * time.Millisecond, FarFactor: farFactor,
+	}
 	l.scheduler = New(bounds, 1, l.now, l.state, place.Pack{})
 
+	addWorkers(l)
+	l.registerAddresses()
+
+	for _, q := range l.queues {
+		l.arrive(q)
+	}
+
+	return l
+}
+
+// addLoadWorkers adds the workers of the large deployment.
+func (l *loadSimulation) addLoadWorkers() {
 	for i := range 792 {
-		halves := []int64{2, 2, 1, 4}[i%4]
-		l.addWorker(fmt.Sprintf("s%03d", i), "small", mill.Resources{MilliCores: 8000 * halves, MemoryMiB: 32768 * halves})
+		l.addSmallWorker(fmt.Sprintf("s%03d", i), i)
 	}
 
 	for i := range 308 {
-		l.addWorker(fmt.Sprintf("l%03d", i), "large", mill.Resources{MilliCores: 64000, MemoryMiB: 262144, Accelerators: 8})
+		l.addLargeWorker(fmt.Sprintf("l%03d", i))
 	}
+}
 
-	l.registerAddresses()
+func (l *loadSimulation) addSmallWorker(id string, number int) *loadWorker {
+	halves := []int64{2, 2, 1, 4}[number%4]
 
-	for _, q := range l.queues {
-		l.arrive(q)
-	}
+	return l.addWorker(id, "small", mill.Resources{MilliCores: 8000 * halves, MemoryMiB: 32768 * halves})
+}
 
-	return l
+func (l *loadSimulation) addLargeWorker(id string) *loadWorker {
+	return l.addWorker(id, "large", mill.Resources{MilliCores: 64000, MemoryMiB: 262144, Accelerators: 8})
 }
 
-func (l *loadSimulation) addWorker(id, service string, capacity mill.Resources) {
+func (l *loadSimulation) addWorker(id, service string, capacity mill.Resources) *loadWorker {
 	w := &loadWorker{
 		status:  mill.WorkerStatus{ID: id, Service: service, Address: id, Capacity: capacity},
 		running: make(map[mill.TaskID]mill.RunStatus),
 	}
 	l.workers[id] = w
 	l.after(time.Duration(l.random.Int64N(int64(loadReportInterval))), func() { l.report(w) })
+
+	return w
 }
 
 func (l *loadSimulation) registerAddresses() {
--- a/internal/lead/rack_bench_test.go
+++ b/internal/lead/rack_bench_test.go
@@ -35,15 +35,7 @@
 	}
 
 	submit("first", mill.Step{Count: 4 * workers / 10, Estimate: time.Second})
-
-	actions := scheduler.Next(simStart, simStart.UnixMilli(), state)
-	results := make([]jobs.Result, 0, len(actions.Commands))
-
-	for i := range actions.Commands {
-		results = append(results, state.Apply(&actions.Commands[i]))
-	}
-
-	scheduler.Committed(actions.Commands, results, nil, simStart)
+	benchmarkPlace(state, scheduler)
 
 	for i := range waiting {
 		submit(fmt.Sprintf("wait%d", i), mill.Step{Count: 2, Estimate: time.Second})
