--- a/internal/lead/load_racks_test.go
+++ b/internal/lead/load_racks_test.go
@@ -227,3 +227,29 @@
 
 	assert.Check(t, results["value"].inTime >= results["never"].inTime)
 }
+
+// TestPlansWithoutRacksStayTheSame expects the same runs on the same workers with a factor as without if no step wants a
+// rack, and with the factor 1 as with 0 if steps do.
+func TestPlansWithoutRacksStayTheSame(t *testing.T) {
+	runs := func(factor float64, racks bool) map[mill.TaskID]string {
+		r := newRackSimulation(1, nil)
+		r.scheduler.bounds.FarFactor = factor
+
+		if !racks {
+			r.shape = nil
+		}
+
+		r.runUntil(simStart.Add(8 * time.Second))
+
+		workers := make(map[mill.TaskID]string)
+		for task, run := range r.scheduler.runs {
+			workers[task] = run.worker.status.ID
+		}
+
+		return workers
+	}
+
+	assert.Assert(t, maps.Equal(runs(0, false), runs(rackFarFactor, false)))
+	assert.Assert(t, maps.Equal(runs(0, true), runs(1, true)))
+	assert.Assert(t, !maps.Equal(runs(0, true), runs(rackFarFactor, true)), "the racks of the simulation have no effect")
+}
--- a/internal/lead/rack_wait_test.go
+++ b/internal/lead/rack_wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -172,3 +173,24 @@
 	assert.Assert(t, expected < 1100*time.Millisecond, "%s", expected)
 	assert.Assert(t, s.scheduler.TakeRackCounts().AwayCoreMilli > 2900)
 }
+
+// TestFactorIsLearned expects the factor of a queue to come from its runs where the settings give none, and then to be used.
+func TestFactorIsLearned(t *testing.T) {
+	s := newRackTest(t, "a1", "b1")
+	s.scheduler.bounds.FarFactor = plan.LearnFarFactor
+
+	for i := range 24 {
+		id, rack := strconv.Itoa(i), []string{"a", "x"}[i%2]
+		s.submit(id, rackTask(rack))
+		s.pass(time.Duration(1+i%2) * time.Second)
+		s.end(id, 0, mill.FinishDone)
+		s.pass(simStep)
+	}
+
+	factor := s.scheduler.farFactor("free")
+	assert.Assert(t, factor > 1.9 && factor < 2.1, "%g", factor)
+
+	s.submit("first", rackTask("a"))
+	s.pass(700 * time.Millisecond)
+	assert.DeepEqual(t, s.offer("second", rackTask("a")), []string{""})
+}
