--- a/internal/lead/load_simulation_test.go
+++ b/internal/lead/load_simulation_test.go
@@ -49,6 +49,8 @@
 	// renewal is the one that waits for its answer, and sentAt when the leader sent it.
 	renewal *Renew
 	sentAt  time.Time
+	// lost says that the worker has no power.
+	lost bool
 }
 
 // loadSimulation is a leader under the load of the large deployment, 1,100 workers and 65 jobs a second, in simulated
@@ -68,17 +70,28 @@
 	queues  []*loadQueue
 	workers map[string]*loadWorker
 	jobs    map[string]*loadJob
+	// shape, unless nil, changes the steps that are submitted. slowdown, unless nil, returns how many times as long a run
+	// takes on a worker, and is told of each start.
+	shape    func(q *loadQueue, step *mill.Step)
+	slowdown func(run mill.RunRef, step *mill.Step, w *loadWorker) float64
 	// countFrom is when the jobs are submitted whose times count.
 	countFrom time.Time
 }
 
 func newLoadSimulation(seed uint64) *loadSimulation {
+	return newLoadSimulationOf(seed, loadQueues(), 0, (*loadSimulation).addLoadWorkers)
+}
+
+// newLoadSimulationOf returns a leader under the load of some queues on the workers that a function adds.
+func newLoadSimulationOf(
+	seed uint64, queues []*loadQueue, farFactor float64, addWorkers func(l *loadSimulation),
+) *loadSimulation {
 	l := &loadSimulation{
 		now:      simStart,
 		planTime: loadPlanTime,
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		state:    jobs.NewState(),
-		queues:   loadQueues(),
+		queues:   queues,
 		workers:  make(map[string]*loadWorker),
 		jobs:     make(map[string]*loadJob),
 	}
@@ -90,34 +103,51 @@
 
 	l.state.Apply(&jobs.Command{Setup: setup})
 
-	bounds := Bounds{MaxLease: 10 * time.Second, GangTimeout: 5 * time.Second, MaxStopTime: 900 * time.Millisecond}
+	bounds := Bounds{
+		MaxLease: 10 * time.Second, GangTimeout: 5 * time.Second, MaxStopTime: 900 * time.Millisecond, FarFactor: farFactor,
+	}
 	l.scheduler = New(bounds, 1, l.now, l.state, place.Pack{})
 
+	addWorkers(l)
+	l.registerAddresses()
+
+	for _, q := range l.queues {
+		l.arrive(q)
+	}
+
+	return l
+}
+
+// addLoadWorkers adds the workers of the large deployment.
+func (l *loadSimulation) addLoadWorkers() {
 	for i := range 792 {
-		halves := []int64{2, 2, 1, 4}[i%4]
-		l.addWorker(fmt.Sprintf("s%03d", i), "small", mill.Resources{MilliCores: 8000 * halves, MemoryMiB: 32768 * halves})
+		l.addSmallWorker(fmt.Sprintf("s%03d", i), i)
 	}
 
 	for i := range 308 {
-		l.addWorker(fmt.Sprintf("l%03d", i), "large", mill.Resources{MilliCores: 64000, MemoryMiB: 262144, Accelerators: 8})
+		l.addLargeWorker(fmt.Sprintf("l%03d", i))
 	}
+}
 
-	l.registerAddresses()
+func (l *loadSimulation) addSmallWorker(id string, number int) *loadWorker {
+	halves := []int64{2, 2, 1, 4}[number%4]
 
-	for _, q := range l.queues {
-		l.arrive(q)
-	}
+	return l.addWorker(id, "small", mill.Resources{MilliCores: 8000 * halves, MemoryMiB: 32768 * halves})
+}
 
-	return l
+func (l *loadSimulation) addLargeWorker(id string) *loadWorker {
+	return l.addWorker(id, "large", mill.Resources{MilliCores: 64000, MemoryMiB: 262144, Accelerators: 8})
 }
 
-func (l *loadSimulation) addWorker(id, service string, capacity mill.Resources) {
+func (l *loadSimulation) addWorker(id, service string, capacity mill.Resources) *loadWorker {
 	w := &loadWorker{
 		status:  mill.WorkerStatus{ID: id, Service: service, Address: id, Capacity: capacity},
 		running: make(map[mill.TaskID]mill.RunStatus),
 	}
 	l.workers[id] = w
 	l.after(time.Duration(l.random.Int64N(int64(loadReportInterval))), func() { l.report(w) })
+
+	return w
 }
 
 func (l *loadSimulation) registerAddresses() {
@@ -150,6 +180,10 @@
 }
 
 func (l *loadSimulation) report(w *loadWorker) {
+	if w.lost {
+		return
+	}
+
 	w.status.Sequence++
 	w.status.ClockMilli = l.clockMilli()
 	status, at := w.status, l.now
@@ -188,6 +222,10 @@
 			step.After = []int{index - 1}
 		}
 
+		if l.shape != nil {
+			l.shape(q, &step)
+		}
+
 		chain += step.Estimate
 		work.Steps = append(work.Steps, step)
 	}
@@ -321,12 +359,25 @@
 
 func (l *loadSimulation) start(start *Start) {
 	w := l.workers[start.To.ID]
+	if w.lost {
+		l.update(func() { l.scheduler.StartAnswered(start, mill.OrderReply{Outcome: mill.OutcomeUnreachable}, l.now) })
+
+		return
+	}
+
 	run := mill.RunRef{Task: start.Order.Task, Run: start.Order.Run}
 	w.running[run.Task] = mill.RunStatus{RunRef: run, Percent: fullPercent}
 
 	job, ok := l.state.Job(run.Task.Job)
 	if ok && l.jobs[run.Task.Job].queue.stays == 0 && !job.Finished() {
-		length := time.Duration(float64(job.Work.Steps[run.Task.Step].Estimate) * (0.8 + 0.4*l.random.Float64()))
+		step := &job.Work.Steps[run.Task.Step]
+		// The lengths do not depend on the order of the starts, so that policies can be compared on the same jobs.
+		length := time.Duration(float64(step.Estimate) * (0.8 + 0.004*float64(percentOf(run.Task.String()))))
+
+		if l.slowdown != nil {
+			length = time.Duration(float64(length) * l.slowdown(run, step, w))
+		}
+
 		l.after(length, func() { l.finish(w, run, mill.FinishDone) })
 	}
 
@@ -336,6 +387,10 @@
 
 func (l *loadSimulation) stop(stop *Stop) {
 	w := l.workers[stop.To.ID]
+	if w.lost {
+		return
+	}
+
 	l.after(loadStopTime, func() { l.finish(w, stop.Run, mill.FinishStopped) })
 
 	reply := l.accepted()
@@ -343,7 +398,7 @@
 }
 
 func (l *loadSimulation) finish(w *loadWorker, run mill.RunRef, cause mill.FinishCause) {
-	if status, ok := w.running[run.Task]; !ok || status.Run != run.Run {
+	if status, ok := w.running[run.Task]; !ok || status.Run != run.Run || w.lost {
 		return
 	}
 
@@ -355,6 +410,13 @@
 
 func (l *loadSimulation) renew(renewal *Renew, sentAt time.Time) {
 	w := l.workers[renewal.To.ID]
+	if w.lost {
+		reply := &mill.RenewReply{OrderReply: mill.OrderReply{Outcome: mill.OutcomeUnreachable}}
+		l.update(func() { l.scheduler.RenewAnswered(renewal, reply, sentAt, l.now) })
+
+		return
+	}
+
 	w.renewal, w.sentAt = renewal, sentAt
 
 	for len(w.finished) > 0 && w.finished[0].Number <= renewal.Order.Acknowledged {
@@ -376,7 +438,7 @@
 
 func (l *loadSimulation) answerRenewal(w *loadWorker) {
 	renewal, sentAt := w.renewal, w.sentAt
-	if renewal == nil {
+	if renewal == nil || w.lost {
 		return
 	}
 
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -43,7 +43,7 @@
 	}
 
 	commands := s.placeTasks(c, len(c.waiting), p)
-	if len(c.waiting) == 0 {
+	if len(c.waiting) == c.heldForRack {
 		return commands
 	}
 
@@ -65,7 +65,7 @@
 		return nil
 	}
 
-	chosen, workers := s.chooseWorkers(c, count, p, filter)
+	chosen, workers := s.chooseByRack(c, count, p, filter)
 	if c.step.Gang && len(chosen) < count {
 		return nil
 	}
@@ -298,6 +298,7 @@
 		isolating:    c.isolated,
 
 		earlierSuspicion: task.Suspicion,
+		away:             c.awayOn(w),
 	}
 
 	if c.step.Gang {
