--- a/internal/core/contact.go
+++ b/internal/core/contact.go
@@ -70,8 +70,8 @@
 	}
 }
 
-// isNews reports whether the reply of a process is not to be held back: it says what the sender of the request does not know,
-// or which process it should ask instead.
+// isNews reports whether the reply of a process is not to be held back: it says what the sender of the request does not
+// know, or which process it should ask instead.
 func (r *ContactReply) isNews(self string, request *ContactRequest) bool {
 	if r.Leader == self {
 		return r.HasSetup && r.SetupVersion > request.Version || request.Term > 0 && r.Term > request.Term
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -17,6 +17,8 @@
 	StartWave *mill.Wave `cbor:"8,keyasint,omitempty"`
 	// SettleMachine records that a machine of a wave has begun its maintenance, or will not have any.
 	SettleMachine *SettleMachine `cbor:"9,keyasint,omitempty"`
+	// RecordLearned records what the leader has learned about workers and queues. Earlier builds ignore it.
+	RecordLearned *Learned `cbor:"10,keyasint,omitempty"`
 }
 
 // Submit accepts a job under an id chosen by the caller.
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -35,6 +35,8 @@
 	Workers map[string]*mill.WorkerStatus `cbor:"5,keyasint,omitempty"`
 	// Waves holds the maintenance waves by number.
 	Waves map[int]*Wave `cbor:"6,keyasint,omitempty"`
+	// Learned is what leaders have learned about the recorded workers and the queues.
+	Learned Learned `cbor:"7,keyasint,omitempty"`
 }
 
 // NewState returns an empty state.
@@ -60,6 +62,7 @@
 func (s *State) AmendSetup(setup *mill.Setup) {
 	s.stored.Setup = setup
 	s.index = mill.NewSetupIndex(setup)
+	s.forgetQueues()
 }
 
 // Job returns the job with that id.
@@ -104,12 +107,15 @@
 		return ResultApplied
 	case command.ForgetWorker != "":
 		delete(s.stored.Workers, command.ForgetWorker)
+		delete(s.stored.Learned.Workers, command.ForgetWorker)
 
 		return ResultApplied
 	case command.StartWave != nil:
 		return s.startWave(command.StartWave)
 	case command.SettleMachine != nil:
 		return s.settleMachine(command.SettleMachine)
+	case command.RecordLearned != nil:
+		return s.recordLearned(command.RecordLearned)
 	default:
 		return ResultObsolete
 	}
--- a/internal/lead/committed.go
+++ b/internal/lead/committed.go
@@ -24,6 +24,8 @@
 			s.finishCommitted(commands[i].Finish, err == nil, now)
 		case commands[i].RecordWorker != nil, commands[i].ForgetWorker != "":
 			s.recordCommitted(&commands[i], err == nil)
+		case commands[i].RecordLearned != nil:
+			s.learned.pending = false
 		case commands[i].SettleMachine != nil && err != nil:
 			s.maintenanceCommands = append(s.maintenanceCommands, commands[i])
 		default:
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -38,6 +38,7 @@
 	waitingSinceFailure map[mill.TaskID]time.Time
 	estimates           plan.RunTimeEstimates
 	failureRates        plan.FailureRates
+	learned             learned
 	// failedGangs holds the failed runs of gangs that are not recorded as evidence yet.
 	failedGangs   []*gangRun
 	allowedShares plan.AllowedShares
@@ -125,6 +126,7 @@
 	}
 
 	s.loadWorkerRecords(state)
+	s.loadLearned(state.Learned())
 
 	for _, job := range state.OpenJobs() {
 		s.inheritJob(job)
@@ -319,6 +321,7 @@
 	actions.Commands = append(actions.Commands, s.place(candidates, p)...)
 	s.applyLimits(candidates)
 	actions.Commands = append(actions.Commands, s.updateWorkerRecords()...)
+	actions.Commands = append(actions.Commands, s.recordLearned(now)...)
 	actions.Commands = append(actions.Commands, s.maintenanceCommands...)
 	s.maintenanceCommands = nil
 	s.planMaintenance(&actions, now, state)
--- a/internal/plan/advice_names.go
+++ b/internal/plan/advice_names.go
@@ -56,6 +56,15 @@
 	a.byQueue[queue] = share
 }
 
+// Restore sets the share of workers that the advisor allows for a queue.
+func (a *AllowedShares) Restore(queue string, share float64) {
+	if a.byQueue == nil {
+		a.byQueue = make(map[string]float64)
+	}
+
+	a.byQueue[queue] = share
+}
+
 // Share returns the share of workers that the advisor allows for a queue.
 func (a *AllowedShares) Share(queue string) float64 {
 	if share, ok := a.byQueue[queue]; ok {
--- a/internal/plan/run_time_estimates.go
+++ b/internal/plan/run_time_estimates.go
@@ -1,6 +1,10 @@
 package plan
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// historyDecay is the weight of a run relative to the next one. The effective history is the
@@ -17,6 +21,8 @@
 	// minShareOfMean limits a correction: no run is assumed to be shorter than this share of
 	// the queue's mean.
 	minShareOfMean = 0.1
+	// historySums is the number of sums that a queue's history consists of.
+	historySums = 5
 )
 
 // RunTimeEstimates corrects the submitters' run time estimates by the observed run times, per queue; its
@@ -56,6 +62,36 @@
 	r.product = historyDecay*r.product + x*y
 }
 
+// Queues returns the queues with a history, sorted.
+func (e *RunTimeEstimates) Queues() []string {
+	return slices.Sorted(maps.Keys(e.regressions))
+}
+
+// History returns the sums of a queue's history, or nil if there is none.
+func (e *RunTimeEstimates) History(queue string) []float64 {
+	r, ok := e.regressions[queue]
+	if !ok {
+		return nil
+	}
+
+	return []float64{r.runs, r.estimated, r.actual, r.estimatedSquare, r.product}
+}
+
+// Restore sets a queue's history to what History returned. Sums that make no sense are ignored.
+func (e *RunTimeEstimates) Restore(queue string, sums []float64) {
+	if len(sums) != historySums || slices.ContainsFunc(sums, func(sum float64) bool { return !(sum > 0) }) {
+		return
+	}
+
+	if e.regressions == nil {
+		e.regressions = make(map[string]*regression)
+	}
+
+	e.regressions[queue] = &regression{
+		runs: sums[0], estimated: sums[1], actual: sums[2], estimatedSquare: sums[3], product: sums[4],
+	}
+}
+
 // HasHistory reports whether enough runs of the queue were observed to rate workers by their run times.
 func (e *RunTimeEstimates) HasHistory(queue string) bool {
 	r, ok := e.regressions[queue]
--- a/internal/plan/slowness.go
+++ b/internal/plan/slowness.go
@@ -39,6 +39,17 @@
 	return (s.runs*s.mean + priorRuns) / (s.runs + priorRuns)
 }
 
+// RestoreSlowness returns what an earlier leader knew of a worker: its mean run time relative to those of other workers, and
+// the number of runs.
+func RestoreSlowness(mean, runs float64) Slowness {
+	return Slowness{mean: mean, runs: runs}
+}
+
+// Mean returns the worker's mean run time relative to those of other workers, and the number of runs that it rests on.
+func (s *Slowness) Mean() (mean, runs float64) {
+	return s.mean, s.runs
+}
+
 // RecordGangRun records the run of a gang, given the workers of its members. They work at the pace of the slowest one, so
 // the run says little about the others, and is recorded for the one that is known as the slowest.
 func RecordGangRun(members []*Slowness, actual, expected time.Duration) {
--- a/internal/plan/worker_health.go
+++ b/internal/plan/worker_health.go
@@ -136,6 +136,20 @@
 	r.byQueue[queue] += failureRateWeight * (sample - r.byQueue[queue])
 }
 
+// Rate returns the failure rate of a queue's runs, or 0 if none is known.
+func (r *FailureRates) Rate(queue string) float64 {
+	return r.byQueue[queue]
+}
+
+// Restore sets the failure rate of a queue's runs.
+func (r *FailureRates) Restore(queue string, rate float64) {
+	if r.byQueue == nil {
+		r.byQueue = make(map[string]float64)
+	}
+
+	r.byQueue[queue] = rate
+}
+
 // FailureWeight returns how strongly a failed run of the queue indicates a fault of its worker: weakly if
 // many runs of the queue fail.
 func (r *FailureRates) FailureWeight(queue string) float64 {
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -37,6 +37,10 @@
 		}
 	}
 
+	if !n.snapshotPending() {
+		n.sentSnapshot = nil
+	}
+
 	if !n.quorumActive() {
 		n.becomeFollower(n.term)
 		n.leader = Server{}
@@ -95,7 +99,9 @@
 
 	term, ok := n.log.termAt(prev)
 	if !ok {
-		n.sendSnapshot(p)
+		if p.snapshotTicks == 0 {
+			n.sendSnapshot(p)
+		}
 
 		return
 	}
@@ -113,15 +119,38 @@
 }
 
 func (n *Node) sendSnapshot(p *progress) {
-	snapshot, err := n.snapshot()
+	snapshot, err := n.snapshotToSend()
 	if err != nil {
 		return
 	}
 
 	p.nextIndex = snapshot.Index + 1
+	p.snapshotTicks = snapshotTicks
 	n.sendBeforeSave(p.server, Message{Kind: KindInstallSnapshot, Snapshot: snapshot, Commit: n.commitIndex})
 }
 
+// snapshotToSend returns the snapshot that was sent last, if the log has the entries after it. Several servers may need one
+// at the same time, and encoding the state of a large deployment holds up everything else.
+func (n *Node) snapshotToSend() (*Snapshot, error) {
+	if n.sentSnapshot != nil && n.sentSnapshot.Index >= n.log.base {
+		return n.sentSnapshot, nil
+	}
+
+	snapshot, err := n.snapshot()
+	if err != nil {
+		return nil, err
+	}
+
+	n.sentSnapshot = snapshot
+
+	return snapshot, nil
+}
+
+// snapshotPending reports whether a snapshot may be on its way to some server.
+func (n *Node) snapshotPending() bool {
+	return slices.ContainsFunc(n.progress.list, func(p *progress) bool { return p.snapshotTicks > 0 })
+}
+
 func (n *Node) stepAppendEntriesReply(message *Message) {
 	p := n.progress.find(message.From.Identity)
 	if n.role != leader || p == nil || message.Term != n.term {
@@ -131,6 +160,10 @@
 	p.ticksSinceReply = 0
 
 	if !message.Granted {
+		if p.snapshotTicks > 0 {
+			return
+		}
+
 		p.nextIndex = min(message.Index, n.log.last()) + 1
 		n.sendEntries(p)
 
@@ -140,6 +173,7 @@
 	if message.Index > p.matchIndex {
 		p.matchIndex = message.Index
 		p.unackedTicks = 0
+		p.snapshotTicks = 0
 	}
 
 	p.nextIndex = max(p.nextIndex, p.matchIndex+1)
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -15,6 +15,7 @@
 	initialElectionTicks = 3
 	joinTicks            = 4
 	resendTicks          = 8
+	snapshotTicks        = 40
 	maxEntriesPerMessage = 64
 	maxUncommitted       = 1024
 	compactEntries       = 1024
@@ -57,6 +58,8 @@
 	votePending bool
 	// leaderSeen is set once a leader has been known since the server was opened.
 	leaderSeen bool
+	// sentSnapshot is the snapshot that a leader sent last, while it may be on its way.
+	sentSnapshot *Snapshot
 	// bytesSinceSnapshot is the size of the entry data stored since the last snapshot.
 	bytesSinceSnapshot int
 	limits             logLimits
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -9,11 +9,20 @@
 	nextIndex       uint64
 	ticksSinceReply int
 	unackedTicks    int
+	// snapshotTicks is for how long a snapshot that was sent may still be on its way. What the server rejects meanwhile was
+	// sent before it.
+	snapshotTicks int
 }
 
 // resendIfStalled resets nextIndex when entries have not been acknowledged for
 // resendTicks, so that they are sent again.
 func (p *progress) resendIfStalled() {
+	if p.snapshotTicks > 0 {
+		p.snapshotTicks--
+
+		return
+	}
+
 	if p.matchIndex+1 >= p.nextIndex {
 		p.unackedTicks = 0
 
