--- a/internal/raft/membership_test.go
+++ b/internal/raft/membership_test.go
@@ -273,8 +273,9 @@
 	assert.Assert(t, membership.Has(c.servers[lost].disk.Identity()), "%v", membership.Servers)
 }
 
-// TestLeaderIgnoresItsOwnJoinRequest guards against a leader that treats itself as a follower which never answers: it stepped
-// down while just a majority was left, and else removed itself from the voters. A candidate's join request may reach it late.
+// TestLeaderIgnoresItsOwnJoinRequest guards against a leader that treats itself as a follower which never answers: it
+// stepped down while just a majority was left, and else removed itself from the voters. A join request that it sent as a
+// candidate may reach it late.
 func TestLeaderIgnoresItsOwnJoinRequest(t *testing.T) {
 	c := newCluster(t, "a", "b", "c", "d", "e", "f")
 	c.rounds(4 * healRounds)
