--- a/internal/intake/port.go
+++ b/internal/intake/port.go
@@ -187,10 +187,11 @@
 		return func() {}
 	}
 
-	bytes := r.bytes
+	// The reservation belongs to the connection, whose next request may come before the release.
+	budget, bytes := r.gate.budget, r.bytes
 	r.bytes = 0
 
-	return func() { r.gate.budget.Release(bytes) }
+	return func() { budget.Release(bytes) }
 }
 
 // admit reads the body of a request, or refuses the request.
