Give large messages between core processes the time that they need

Both times grow with large messages now, as does the time after which a learner is dropped. A lost one is noticed as before, by the rejection of the next heartbeat.

--- a/internal/drive/outbox.go
+++ b/internal/drive/outbox.go
@@ -18,6 +18,8 @@
 	// ackTimeout is how long a peer may take to acknowledge a batch. It is longer
 	// than a round trip between regions and shorter than an election.
 	ackTimeout = time.Second
+	// minLinkRate is the rate in bytes per second at which a large batch is expected to be carried: 1.5 Mbit/s.
+	minLinkRate = 1_500_000 / 8
 )
 
 // Outbox sends messages to peers in order, with one goroutine per address. It
@@ -128,6 +130,8 @@
 	// lastAck is when the peer last acknowledged a batch or had none to acknowledge.
 	lastAck atomic.Pointer[time.Time]
 	broken  atomic.Bool
+	// transferTime is how long the last large batch may take beyond ackTimeout; 0 once nothing is unacknowledged.
+	transferTime atomic.Int64
 	// unpacks says that the process that answered last at the peer's address takes compressed batches.
 	unpacks *atomic.Bool
 }
@@ -180,11 +184,17 @@
 
 	if d.unackedBatches.Load() == 0 {
 		d.recordAck()
+		d.transferTime.Store(0)
 
 		return false
 	}
 
-	return time.Since(*d.lastAck.Load()) > ackTimeout
+	return time.Since(*d.lastAck.Load()) > d.ackLimit()
+}
+
+// ackLimit returns how long the peer may take to acknowledge a batch.
+func (d *delivery[M]) ackLimit() time.Duration {
+	return ackTimeout + time.Duration(d.transferTime.Load())
 }
 
 func (d *delivery[M]) send(messages []M) bool {
@@ -195,10 +205,14 @@
 		return true
 	}
 
+	if len(data) >= wire.PackBytes {
+		d.transferTime.Store(int64(len(data)) * int64(time.Second) / minLinkRate)
+	}
+
 	d.unackedBatches.Add(1)
 
 	// A peer that does not read blocks the writer, so a send has a timeout of its own.
-	timer := time.AfterFunc(ackTimeout, d.cancel)
+	timer := time.AfterFunc(d.ackLimit(), d.cancel)
 	defer timer.Stop()
 
 	return d.stream.SendEncoded(data) == nil
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -32,7 +32,7 @@
 		p.ticksSinceReply++
 		p.resendIfStalled()
 
-		if p.ticksSinceReply > learnerTimeoutTicks && !n.log.membership.Has(p.server.Identity) {
+		if p.ticksSinceReply > learnerTimeoutTicks+p.transferTicks() && !n.log.membership.Has(p.server.Identity) {
 			n.progress.remove(p.server.Identity)
 		}
 	}
@@ -102,6 +102,7 @@
 
 	list := n.log.entriesAfter(prev, maxEntriesPerMessage)
 	p.nextIndex += uint64(len(list))
+	p.recordSent(p.nextIndex-1, dataBytes(list))
 
 	n.sendBeforeSave(p.server, Message{
 		Kind:     KindAppendEntries,
@@ -112,6 +113,16 @@
 	})
 }
 
+// dataBytes returns the size of the data of entries.
+func dataBytes(entries []Entry) int {
+	bytes := 0
+	for i := range entries {
+		bytes += len(entries[i].Data)
+	}
+
+	return bytes
+}
+
 func (n *Node) sendSnapshot(p *progress) {
 	snapshot, err := n.snapshot()
 	if err != nil {
@@ -119,6 +130,7 @@
 	}
 
 	p.nextIndex = snapshot.Index + 1
+	p.recordSent(snapshot.Index, len(snapshot.Data))
 	n.sendBeforeSave(p.server, Message{Kind: KindInstallSnapshot, Snapshot: snapshot, Commit: n.commitIndex})
 }
 
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -2,6 +2,10 @@
 
 import "slices"
 
+// minBytesPerTick is the rate at which a large message is expected to be carried: 1.5 Mbit/s at 20 ticks a second, for
+// messages that are compressed to a seventh on their way.
+const minBytesPerTick = 64 << 10
+
 // progress is the leader's view of another server's log.
 type progress struct {
 	server          Server
@@ -9,6 +13,27 @@
 	nextIndex       uint64
 	ticksSinceReply int
 	unackedTicks    int
+	// largeIndex is the index of the last entry of the latest large message to the server, and largeTicks how long that
+	// message may take.
+	largeIndex uint64
+	largeTicks int
+}
+
+// recordSent records that the server was sent a message with that many bytes of data, up to the entry at the index.
+func (p *progress) recordSent(index uint64, bytes int) {
+	if ticks := bytes / minBytesPerTick; ticks > 0 {
+		p.largeIndex, p.largeTicks = index, ticks
+	}
+}
+
+// transferTicks returns how long a large message that the server has not acknowledged may take beyond the usual. If it is
+// lost, the server rejects the next message, and it is sent again at once.
+func (p *progress) transferTicks() int {
+	if p.matchIndex >= p.largeIndex {
+		return 0
+	}
+
+	return p.largeTicks
 }
 
 // resendIfStalled resets nextIndex when entries have not been acknowledged for
@@ -22,7 +47,7 @@
 
 	p.unackedTicks++
 
-	if p.unackedTicks >= resendTicks {
+	if p.unackedTicks >= resendTicks+p.transferTicks() {
 		p.unackedTicks = 0
 		p.nextIndex = p.matchIndex + 1
 	}
