--- a/internal/core/leader_contact.go
+++ b/internal/core/leader_contact.go
@@ -46,15 +46,10 @@
 	limit, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	var wait time.Duration
-
-	c.mu.Lock()
-	c.endContact = cancel
-
-	if c.confirmed {
-		wait = longPollTimeout
+	wait, ok := c.beginContact(leader, cancel)
+	if !ok {
+		return
 	}
-	c.mu.Unlock()
 
 	start := time.Now()
 
@@ -68,6 +63,21 @@
 	}
 }
 
+// beginContact has a contact with the leader end when that changes, and returns for how long the reply may be held back. It
+// reports false if another process has become known as the leader meanwhile.
+func (c *LeaderClient) beginContact(leader string, end context.CancelFunc) (wait time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.endContact = end
+
+	if c.confirmed {
+		wait = longPollTimeout
+	}
+
+	return wait, c.leader == leader
+}
+
 // search asks the next process in turn for the leader. It returns when that process has answered, or is slow to.
 func (c *LeaderClient) search(ctx context.Context) {
 	answered := make(chan struct{})
