--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -32,7 +32,7 @@
 		p.ticksSinceReply++
 		p.resendIfStalled()
 
-		if p.ticksSinceReply > learnerTimeoutTicks && !n.log.membership.Has(p.server.Identity) {
+		if p.ticksSinceReply > learnerTimeoutTicks+p.transferTicks() && !n.log.membership.Has(p.server.Identity) {
 			n.progress.remove(p.server.Identity)
 		}
 	}
@@ -108,6 +108,7 @@
 
 	list := n.log.entriesAfter(prev, maxEntriesPerMessage)
 	p.nextIndex += uint64(len(list))
+	p.recordSent(p.nextIndex-1, dataBytes(list))
 
 	n.sendBeforeSave(p.server, Message{
 		Kind:     KindAppendEntries,
@@ -118,6 +119,16 @@
 	})
 }
 
+// dataBytes returns the size of the data of entries.
+func dataBytes(entries []Entry) int {
+	bytes := 0
+	for i := range entries {
+		bytes += len(entries[i].Data)
+	}
+
+	return bytes
+}
+
 func (n *Node) sendSnapshot(p *progress) {
 	snapshot, err := n.snapshotToSend()
 	if err != nil {
@@ -125,7 +136,8 @@
 	}
 
 	p.nextIndex = snapshot.Index + 1
-	p.snapshotTicks = snapshotTicks
+	p.recordSent(snapshot.Index, len(snapshot.Data))
+	p.snapshotTicks = snapshotTicks + p.transferTicks()
 	n.sendBeforeSave(p.server, Message{Kind: KindInstallSnapshot, Snapshot: snapshot, Commit: n.commitIndex})
 }
 
@@ -160,7 +172,7 @@
 	p.ticksSinceReply = 0
 
 	if !message.Granted {
-		if p.snapshotTicks > 0 {
+		if p.snapshotTicks > 0 || p.expectsStaleRejection() {
 			return
 		}
 
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -2,6 +2,10 @@
 
 import "slices"
 
+// minBytesPerTick is the rate at which a large message is expected to be carried: 1.5 Mbit/s at 20 ticks a second, for
+// messages that are compressed to a seventh on their way.
+const minBytesPerTick = 64 << 10
+
 // progress is the leader's view of another server's log.
 type progress struct {
 	server          Server
@@ -12,11 +16,41 @@
 	// snapshotTicks is for how long a snapshot that was sent may still be on its way. What the server rejects meanwhile was
 	// sent before it.
 	snapshotTicks int
+	// largeIndex is the index of the last entry of the latest large message to the server, largeTicks how long that message
+	// may take, and largeAge how long ago it was sent.
+	largeIndex uint64
+	largeTicks int
+	largeAge   int
+}
+
+// recordSent records that the server was sent a message with that many bytes of data, up to the entry at the index.
+func (p *progress) recordSent(index uint64, bytes int) {
+	if ticks := bytes / minBytesPerTick; ticks > 0 {
+		p.largeIndex, p.largeTicks, p.largeAge = index, ticks, 0
+	}
+}
+
+// expectsStaleRejection reports whether a rejection may answer a heartbeat that was sent before a large message. It must not
+// have that message sent again; if the message is lost, later heartbeats are rejected as well.
+func (p *progress) expectsStaleRejection() bool {
+	return p.transferTicks() > 0 && p.largeAge < resendTicks
+}
+
+// transferTicks returns how long a large message that the server has not acknowledged may take beyond the usual. If it is
+// lost, the server rejects the next messages, and it is sent again; see expectsStaleRejection.
+func (p *progress) transferTicks() int {
+	if p.matchIndex >= p.largeIndex {
+		return 0
+	}
+
+	return p.largeTicks
 }
 
 // resendIfStalled resets nextIndex when entries have not been acknowledged for
 // resendTicks, so that they are sent again.
 func (p *progress) resendIfStalled() {
+	p.largeAge++
+
 	if p.snapshotTicks > 0 {
 		p.snapshotTicks--
 
@@ -31,7 +65,7 @@
 
 	p.unackedTicks++
 
-	if p.unackedTicks >= resendTicks {
+	if p.unackedTicks >= resendTicks+p.transferTicks() {
 		p.unackedTicks = 0
 		p.nextIndex = p.matchIndex + 1
 	}
