Put work beyond a tenant's share after all that is owed

Steps beyond their tenants' shares come after all steps that are owed and have value. They leave headroom, preempt nothing, and may be preempted. Without tenants the order is as before.

--- a/internal/lead/advice_reserve.go
+++ b/internal/lead/advice_reserve.go
@@ -29,16 +29,16 @@
 	workers := s.adviceTargets(c, p)
 	count := len(c.waiting)
 
-	if s.reserveOn(c, count, workers, func(w *worker) bool { return c.ticketRenewable(w, p.now) }) {
+	if s.reserveOn(c, count, p, workers, func(w *worker) bool { return c.ticketRenewable(w, p.now) }) {
 		return
 	}
 
-	s.reserveOn(c, count, workers, func(w *worker) bool { return c.notRefused(w, p.now) })
+	s.reserveOn(c, count, p, workers, func(w *worker) bool { return c.notRefused(w, p.now) })
 }
 
 // reserveOn reserves capacity for a number of tasks on those workers that pass the filter, and reports whether the step
 // fits on them.
-func (s *Scheduler) reserveOn(c *candidate, count int, among []*worker, filter func(w *worker) bool) bool {
+func (s *Scheduler) reserveOn(c *candidate, count int, p *pass, among []*worker, filter func(w *worker) bool) bool {
 	described, workers := s.eligibleWorkers(c, among, filter, c.reservationWidth(s.adviceNames(c)))
 
 	chosen := plan.PlaceTasks(described, c.demand(), count, s.placer, nil)
@@ -50,7 +50,7 @@
 		workers[at].reserve(c.step.Reserves())
 	}
 
-	c.keepWithinLimit(len(chosen))
+	p.pool(c).reserve(c, len(chosen))
 
 	c.adviceWanted = make([]string, 0, len(workers))
 	for _, w := range workers[:min(len(workers), s.adviceNames(c))] {
--- a/internal/lead/backlog.go
+++ b/internal/lead/backlog.go
@@ -76,7 +76,7 @@
 		job:           job,
 		queue:         queue,
 		step:          &job.Work.Steps[id.Step],
-		tenant:        s.tenantOf(job.Tenant),
+		tenant:        s.tenantOf(job),
 		deliveryDelay: commitDelay + s.bounds.MaxDeliveryDelay,
 		now:           s.plannedAt,
 	}
@@ -129,6 +129,8 @@
 		Objective:   objective,
 		Remaining:   remaining,
 		LongRunning: c.step.LongRunning,
+		BeyondShare: c.job.BeyondShare,
+		Level:       s.levelOf(c),
 		Sequence:    c.job.Sequence,
 	}
 }
--- a/internal/lead/load_simulation_test.go
+++ b/internal/lead/load_simulation_test.go
@@ -38,6 +38,8 @@
 	due   time.Time
 	// counts says that the job is still to be counted.
 	counts bool
+	// tenant is that of the job; nil for none.
+	tenant *loadTenant
 }
 
 // loadWorker is a worker without faults.
@@ -70,6 +72,8 @@
 	jobs    map[string]*loadJob
 	// countFrom is when the jobs are submitted whose times count.
 	countFrom time.Time
+	// admit decides on a submission and names its tenant; nil where there are no tenants.
+	admit func(q *loadQueue, submit *jobs.Submit) (tenant *loadTenant, admitted bool)
 }
 
 func newLoadSimulation(seed uint64) *loadSimulation {
@@ -192,10 +196,21 @@
 		work.Steps = append(work.Steps, step)
 	}
 
-	l.state.Apply(&jobs.Command{Submit: &jobs.Submit{Job: id, Queue: q.Name, UnixMilli: l.now.UnixMilli(), Work: work}})
-
 	objective := time.Duration(q.Stretch*float64(chain)) + q.Objective + time.Duration(steps)*q.Advice.Cost(30)
-	l.jobs[id] = &loadJob{queue: q, due: l.now.Add(objective), counts: !l.countFrom.IsZero() && !l.now.Before(l.countFrom)}
+	submitted := &loadJob{queue: q, due: l.now.Add(objective), counts: !l.countFrom.IsZero() && !l.now.Before(l.countFrom)}
+	submit := &jobs.Submit{Job: id, Queue: q.Name, UnixMilli: l.now.UnixMilli(), Work: work}
+
+	if l.admit != nil {
+		tenant, admitted := l.admit(q, submit)
+		if !admitted {
+			return
+		}
+
+		submitted.tenant = tenant
+	}
+
+	l.state.Apply(&jobs.Command{Submit: submit})
+	l.jobs[id] = submitted
 
 	if q.stays > 0 {
 		l.after(q.stays, func() { l.state.Apply(&jobs.Command{Cancel: &jobs.Cancel{Job: id}}) })
@@ -303,10 +318,19 @@
 
 	submitted.counts = false
 
-	if l.now.After(submitted.due) {
-		submitted.queue.late++
+	submitted.record(!l.now.After(submitted.due))
+}
+
+// record counts the job as complete in time or late.
+func (j *loadJob) record(inTime bool) {
+	if j.tenant != nil {
+		j.tenant.record(inTime)
+	}
+
+	if inTime {
+		j.queue.inTime++
 	} else {
-		submitted.queue.inTime++
+		j.queue.late++
 	}
 }
 
@@ -314,7 +338,7 @@
 func (l *loadSimulation) countOverdue() {
 	for _, submitted := range l.jobs {
 		if submitted.counts && submitted.queue.stays == 0 && l.now.After(submitted.due) {
-			submitted.queue.late++
+			submitted.record(false)
 		}
 	}
 }
--- a/internal/lead/overdue.go
+++ b/internal/lead/overdue.go
@@ -26,7 +26,8 @@
 	return commands
 }
 
-// overdueSteps returns the steps whose jobs have had nothing running for over plan.MaxIdleWait, the longest idle first.
+// overdueSteps returns the steps whose jobs have had nothing running for over plan.MaxIdleWait, those beyond their tenants'
+// shares last, and of each kind the longest idle first.
 func (s *Scheduler) overdueSteps(candidates []*candidate, p *pass) []*candidate {
 	var overdue []*candidate
 
@@ -37,7 +38,11 @@
 	}
 
 	slices.SortStableFunc(overdue, func(a, b *candidate) int {
-		return cmp.Or(s.idleSince[a.id].Compare(s.idleSince[b.id]), cmp.Compare(a.job.Sequence, b.job.Sequence))
+		return cmp.Or(
+			plan.CompareOwed(&a.urgency, &b.urgency),
+			s.idleSince[a.id].Compare(s.idleSince[b.id]),
+			cmp.Compare(a.job.Sequence, b.job.Sequence),
+		)
 	})
 
 	return overdue
@@ -155,7 +160,7 @@
 
 // renewAdvice has the advisor asked for new tickets of workers with room that it is known to allow.
 func (s *Scheduler) renewAdvice(c *candidate, p *pass) {
-	if p.mayRequest(c) && s.reserveOn(c, c.together(), c.usableWorkers(p.pool(c)), c.allowsEver) {
+	if p.mayRequest(c) && s.reserveOn(c, c.together(), p, c.usableWorkers(p.pool(c)), c.allowsEver) {
 		p.request(s.newAdviceRequest(c, p.nextAddress(), s.addUnknownWorkers(c, p)))
 	}
 }
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -94,6 +94,8 @@
 	// free is the free capacity of all workers together, and capacity their total.
 	free     mill.Resources
 	capacity mill.Resources
+	// reserved is what the pass reserves of the free capacity.
+	reserved mill.Resources
 	// reservedWorkers counts the workers that this pass reserves for large tasks, and reservationSearches the steps for which
 	// it has looked for such workers.
 	reservedWorkers     int
@@ -228,6 +230,17 @@
 	p.free = p.free.Sub(perTask)
 }
 
+// reserve records that the pass reserves capacity for tasks of a step, which count against the limit of its tenant too.
+func (p *pool) reserve(c *candidate, tasks int) {
+	for range tasks {
+		p.reserved = p.reserved.Add(c.step.Reserves())
+
+		if c.tenant != nil {
+			c.tenant.reserved = c.tenant.reserved.Add(c.step.PerTask)
+		}
+	}
+}
+
 // mayFit reports whether a task of the step could fit on some worker. It is a cheap necessary
 // condition: in a full pool it saves checking each worker for each of hundreds of waiting steps.
 func (p *pass) mayFit(c *candidate) bool {
--- a/internal/lead/preempt.go
+++ b/internal/lead/preempt.go
@@ -63,7 +63,7 @@
 // to arrive when the capacity is free.
 func (s *Scheduler) reserveWorker(c *candidate, res *reservation, p *pass) {
 	p.pool(c).reservedWorkers++
-	c.keepWithinLimit(1)
+	p.pool(c).reserve(c, 1)
 	res.worker.reserve(c.step.Reserves())
 
 	for _, r := range res.victims {
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -67,6 +68,7 @@
 	planTime    time.Duration
 	longestPlan time.Duration
 	metrics     metrics
+	saturation  atomic.Pointer[saturation]
 }
 
 // NewRunner returns a runner for a term; canceling its context ends the term.
@@ -81,6 +83,12 @@
 	}
 }
 
+// Saturated reports whether a service was full at the last plan while work for it waited; false if that is not known or
+// was a while ago. It is safe for concurrent use.
+func (r *Runner) Saturated(service string) bool {
+	return r.saturation.Load().at(service, time.Now())
+}
+
 // MayAct reports whether this process has shown that it leads since it last stood still.
 func (r *Runner) MayAct() bool {
 	return r.guard.mayAct()
@@ -141,6 +149,8 @@
 		actions = r.scheduler.Next(now, wallMilli, state)
 	})
 
+	r.saturation.Store(r.scheduler.saturation)
+
 	took := time.Since(now)
 	r.cadence.planned(now, took)
 	r.recordPlan(took)
--- /dev/null
+++ b/internal/lead/saturation.go
@@ -0,0 +1,66 @@
+package lead
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cranberrymill/cranberrymill/internal/plan"
+)
+
+// maxSaturationAge is how long the saturation that a plan has found counts: several plans are made in that time, unless the
+// process stands still.
+const maxSaturationAge = 500 * time.Millisecond
+
+// saturation is which services were full at a plan while work for them waited.
+type saturation struct {
+	plannedAt time.Time
+	services  map[string]bool
+}
+
+// at reports whether a service is known to be saturated at a time.
+func (s *saturation) at(service string, now time.Time) bool {
+	return s != nil && s.services[service] && now.Sub(s.plannedAt) < maxSaturationAge
+}
+
+// findSaturation returns which services are full after the plan while a step waits for room in them that its tenant's limit
+// does not hold back.
+func (s *Scheduler) findSaturation(candidates []*candidate, p *pass) *saturation {
+	found := &saturation{plannedAt: p.now, services: make(map[string]bool)}
+	hasRoom := make(map[roomDemand]bool)
+
+	for _, c := range candidates {
+		if len(c.waiting) == 0 || found.services[c.queue.Service] {
+			continue
+		}
+
+		demand := c.roomDemand()
+		if !c.heldBack && (hasRoom[demand] || !c.waitsForRoom()) {
+			continue
+		}
+
+		if c.heldBack || p.pool(c).isFullFor(c) {
+			found.services[c.queue.Service] = true
+		} else {
+			hasRoom[demand] = true
+		}
+	}
+
+	return found
+}
+
+// waitsForRoom reports whether the step waits for room, and not for the advisor beside room that is reserved for it.
+func (c *candidate) waitsForRoom() bool {
+	return c.advice == nil || !c.advice.requestPending && len(c.adviceWanted) == 0
+}
+
+// isFullFor reports whether a pool is full, as a task shows that each of its workers could run if it were empty: none has
+// room for it, and little is left in all. A task that needs most of a worker may have no room beside much for others.
+func (p *pool) isFullFor(c *candidate) bool {
+	perTask := c.step.Reserves()
+
+	if c.tasksPerWorker == 0 || c.step.Label != "" || !plan.NearlyFull(p.free.Sub(p.reserved), p.capacity) {
+		return false
+	}
+
+	return !slices.ContainsFunc(p.workers, func(w *worker) bool { return perTask.Fits(w.unreserved()) })
+}
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -29,6 +29,10 @@
 	// plan.
 	tenants    map[string]*tenantUse
 	setupIndex *mill.SetupIndex
+	// shares sums up what the tenants used when the last plan began.
+	shares plan.TenantShares
+	// saturation is that of the last plan; nil before the first.
+	saturation *saturation
 	// ordersDue holds the runs that may need a start or stop order.
 	ordersDue        map[*run]struct{}
 	advice           map[mill.StepID]*advice
@@ -322,6 +326,7 @@
 	s.maintenanceCommands = nil
 	s.planMaintenance(&actions, now, state)
 	actions.AdviceRequests = s.requestAdvice(candidates, p)
+	s.saturation = s.findSaturation(candidates, p)
 	s.waitingSteps = countWaiting(candidates)
 	s.recordWaits(candidates, now)
 	s.addOrders(&actions, now)
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -124,9 +124,11 @@
 	advisorAddresses []string
 	decideTime       time.Duration
 	standstill       standstillCheck
-	// nextTenant is the tenant of the jobs that are submitted from now on.
-	nextTenant string
-	tenants    tenantCheck
+	// nextTenant is the tenant of the jobs that are submitted from now on, and nextBeyondShare says that they are beyond its
+	// share.
+	nextTenant      string
+	nextBeyondShare bool
+	tenants         tenantCheck
 	// adviceRequests counts the advice requests, and adviceRequestsByJob those for each job.
 	adviceRequests      int
 	adviceRequestsByJob map[string]int
@@ -488,6 +490,7 @@
 	sim.specs[id] = &jobSpec{work: work, queue: queue, duration: duration, tenant: sim.nextTenant}
 	sim.state.Apply(&jobs.Command{Submit: &jobs.Submit{
 		Job: id, Queue: queue, Work: work, UnixMilli: sim.now.UnixMilli(), Tenant: sim.nextTenant,
+		BeyondShare: sim.nextBeyondShare,
 	}})
 }
 
--- a/internal/lead/tenant_fuzz_test.go
+++ b/internal/lead/tenant_fuzz_test.go
@@ -52,6 +52,7 @@
 
 func (d *tenantDrawer) submitAs(t *rapid.T) {
 	d.sim.nextTenant = rapid.SampledFrom([]string{"", "a", "a", "b"}).Draw(t, "tenant")
+	d.sim.nextBeyondShare = d.sim.nextTenant != "" && rapid.Bool().Draw(t, "beyond share")
 	d.submit(t)
 }
 
--- a/internal/lead/tenant_limit_test.go
+++ b/internal/lead/tenant_limit_test.go
@@ -134,3 +134,13 @@
 
 	assert.Equal(t, len(placements(next, state, simStart)), 0)
 }
+
+// TestWorkBeyondShareDoesNotStandStill guards against work beyond a tenant's share that is not started for as long as its pool
+// is nearly full, beside room for it twice over.
+func TestWorkBeyondShareDoesNotStandStill(t *testing.T) {
+	for _, queue := range []string{"free", "advised"} {
+		sim := fullPool(t)
+		sim.nextTenant, sim.nextBeyondShare = "t", true
+		assertStarts(t, sim, queue)
+	}
+}
--- a/internal/lead/tenant_use.go
+++ b/internal/lead/tenant_use.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -11,9 +12,13 @@
 	// counts with its cores, which it reserves on no worker.
 	runs    int
 	running mill.Resources
-	// limit is that of the setup in force at the last plan, in which 0 is no limit; it is zero if the setup does not name the
-	// tenant.
-	limit mill.Resources
+	// named says that the setup in force at the last plan names the tenant. limit and weight are those of that setup, and zero
+	// if it does not. In a limit, 0 is no limit.
+	named  bool
+	limit  mill.Resources
+	weight float64
+	// level is how well the tenant was served when the last plan began.
+	level plan.ServiceLevel
 	// reserved is what the current plan keeps for tasks that wait for capacity or advice.
 	reserved mill.Resources
 }
@@ -45,7 +50,9 @@
 func (s *Scheduler) tenant(name string) *tenantUse {
 	use, ok := s.tenants[name]
 	if !ok {
-		use = &tenantUse{limit: s.limitOf(name)}
+		use = &tenantUse{}
+		use.configure(s.setupIndex.Tenant(name))
+		use.level = use.levelAmong(&s.shares)
 		s.tenants[name] = use
 	}
 
@@ -53,28 +60,48 @@
 }
 
 // tenantOf returns what the runs of a job's tenant take, or nil for a job without a tenant.
-func (s *Scheduler) tenantOf(name string) *tenantUse {
-	if name == "" {
+func (s *Scheduler) tenantOf(job *jobs.Job) *tenantUse {
+	if job.Tenant == "" {
 		return nil
 	}
 
-	return s.tenant(name)
+	return s.tenant(job.Tenant)
 }
 
-// limitOf returns a tenant's limit by the setup of the last plan.
-func (s *Scheduler) limitOf(name string) mill.Resources {
-	tenant, ok := s.setupIndex.Tenant(name)
-	if !ok {
-		return mill.Resources{}
+// configure applies the setup in force, which may not name the tenant.
+func (u *tenantUse) configure(tenant *mill.Tenant, named bool) {
+	u.named = named
+	u.limit, u.weight = mill.Resources{}, 0
+
+	if named {
+		u.limit, u.weight = tenant.MaxRunning, tenant.Weight
+	}
+}
+
+// levelAmong returns how well the tenant is served. One that the setup does not name competes with nobody.
+func (u *tenantUse) levelAmong(shares *plan.TenantShares) plan.ServiceLevel {
+	if !u.named {
+		return plan.LevelEven
+	}
+
+	return shares.Level(plan.TenantLoad(u.running), u.weight)
+}
+
+// levelOf returns how well the tenant of a step's job is served if the step's service was saturated at the last plan: where
+// there is room, nobody has to make any.
+func (s *Scheduler) levelOf(c *candidate) plan.ServiceLevel {
+	if c.tenant == nil || !s.saturation.at(c.queue.Service, s.plannedAt) {
+		return plan.LevelEven
 	}
 
-	return tenant.MaxRunning
+	return c.tenant.level
 }
 
-// updateTenants applies the limits of the setup in force, ends the reservations of the last plan, and drops the tenants of
-// which nothing runs.
+// updateTenants applies the limits and weights of the setup in force, ends the reservations of the last plan, and drops the
+// tenants of which nothing runs.
 func (s *Scheduler) updateTenants(index *mill.SetupIndex) {
 	s.setupIndex = index
+	s.shares = plan.TenantShares{}
 
 	for name, use := range s.tenants {
 		if use.runs == 0 {
@@ -83,8 +110,13 @@
 			continue
 		}
 
-		use.limit = s.limitOf(name)
+		use.configure(index.Tenant(name))
 		use.reserved = mill.Resources{}
+		s.shares.Add(plan.TenantLoad(use.running), use.weight)
+	}
+
+	for _, use := range s.tenants {
+		use.level = use.levelAmong(&s.shares)
 	}
 }
 
@@ -114,17 +146,6 @@
 	c.waiting, c.withheld = c.waiting[:count], c.waiting[count:]
 }
 
-// keepWithinLimit counts tasks for which the plan reserves capacity against the tenant's limit.
-func (c *candidate) keepWithinLimit(tasks int) {
-	if c.tenant == nil {
-		return
-	}
-
-	for range tasks {
-		c.tenant.reserved = c.tenant.reserved.Add(c.step.PerTask)
-	}
-}
-
 // atLimit reports whether the limit of the step's tenant lets no task of it start.
 func (c *candidate) atLimit() bool {
 	return len(c.waiting) == 0 && len(c.withheld) > 0
--- /dev/null
+++ b/internal/plan/admission.go
@@ -0,0 +1,28 @@
+package plan
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+)
+
+// AdmitBeyondShare reports whether a submission is accepted that is beyond its tenant's share, given whether its service is
+// saturated and the time until the tenant's share has room for a job; if not, it returns after which time the caller should
+// try again.
+//
+// It addresses tenants that submit several times their share while a service is full: what is accepted then waits behind all
+// that is owed, and each plan has to go through it. Work within the share is not refused, nor is any while there is room.
+// The returns are spread over the time in which the share refills, by a hash of the job: if all came back when there is room
+// for one, the others would be refused again.
+func AdmitBeyondShare(job string, saturated bool, wait time.Duration) (admit bool, retryAfter time.Duration) {
+	if !saturated {
+		return true, 0
+	}
+
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(job)) // A hash accepts all that is written to it.
+
+	spread := float64(max(shareWindow, wait)) * float64(hash.Sum32()) / math.MaxUint32
+
+	return false, wait + time.Duration(spread)
+}
--- a/internal/plan/headroom.go
+++ b/internal/plan/headroom.go
@@ -8,11 +8,11 @@
 const headroomShare = 0.15
 
 // Deferrable reports whether delaying the step is harmless: its job has ample slack, or is so late
-// that completing it has no value. Long-running steps have value only while they run, so they are
-// never deferrable.
+// that completing it has no value, or nothing is owed to it. Long-running steps have value only while
+// they run, so those within their tenant's share are never deferrable.
 func (u *Urgency) Deferrable() bool {
-	if u.LongRunning {
-		return false
+	if u.LongRunning || u.BeyondShare {
+		return u.BeyondShare
 	}
 
 	return u.class() == classTooLate || u.SpeedPreference() < 0
@@ -25,6 +25,15 @@
 	return !urgency.Deferrable() || minFreeShare(free, capacity) > headroomShare
 }
 
+// fragmentedShare is the share of a pool's capacity that may be left in parts too small to use while the pool is full: on a
+// worker that three tasks fit on, the rest is up to a quarter.
+const fragmentedShare = 0.25
+
+// NearlyFull reports whether so little of a pool is free that a task without room shows the pool to be full.
+func NearlyFull(free, capacity mill.Resources) bool {
+	return minFreeShare(free, capacity) <= fragmentedShare
+}
+
 // minFreeShare returns the lowest free share over all resources.
 func minFreeShare(free, capacity mill.Resources) float64 {
 	lowest := 1.0
--- a/internal/plan/preemption.go
+++ b/internal/plan/preemption.go
@@ -23,11 +23,14 @@
 }
 
 // MayPreempt reports whether a task may be preempted for one of another job that can still meet its
-// objective: the victim's queue must have a lower priority, its work must be checkpointed, and its
-// job must have enough slack.
+// objective: the victim's work must be checkpointed, and it must be beyond its tenant's share, or its
+// queue must have a lower priority and its job enough slack.
 func MayPreempt(victim, preemptor *Urgency, checkpointing bool) bool {
-	return checkpointing && !victim.LongRunning && victim.Priority > preemptor.Priority && preemptor.class() == classOnTime &&
-		victim.slack() > preemptionSlack+victim.Remaining/2
+	if !checkpointing || victim.LongRunning || preemptor.class() != classOnTime {
+		return false
+	}
+
+	return victim.BeyondShare || victim.Priority > preemptor.Priority && victim.slack() > preemptionSlack+victim.Remaining/2
 }
 
 // Preemption returns how long it takes until a worker has the capacity for one more task, and which running
--- a/internal/plan/urgency.go
+++ b/internal/plan/urgency.go
@@ -21,6 +21,11 @@
 	Remaining time.Duration
 	// LongRunning steps never complete, so they have no deadline.
 	LongRunning bool
+	// BeyondShare means that the job's tenant had submitted more than its share when the job was accepted, so that the job is
+	// not owed anything that others want.
+	BeyondShare bool
+	// Level is how well the job's tenant is served, while the step's pool is full; LevelEven otherwise.
+	Level ServiceLevel
 	// Sequence is the job's position in the order of acceptance; it breaks ties.
 	Sequence uint64
 }
@@ -42,14 +47,21 @@
 
 // class returns the step's class, by the value of starting it now.
 func (u *Urgency) class() int {
+	class := classOnTime
+
 	switch {
 	case u.LongRunning || u.slack() >= 0:
-		return classOnTime
 	case lateFactor*u.Objective-u.Age-u.Remaining >= 0:
-		return classLate
+		class = classLate
 	default:
 		return classTooLate
 	}
+
+	if u.BeyondShare {
+		class += classBeyondShare
+	}
+
+	return class
 }
 
 // The classes of steps, by decreasing value.
@@ -58,22 +70,40 @@
 	classOnTime = iota
 	// classLate steps miss their objective but still have some value.
 	classLate
+	// classBeyondShare is that of steps beyond their tenant's share that can still meet their objective, and the class after
+	// it that of those that miss it but still have some value.
+	classBeyondShare
+	classBeyondShareLate
 	// classTooLate steps have no value any more.
 	classTooLate
 )
 
 // Compare orders steps for a pool with more work than capacity: first those that can still
-// meet their objective, then those that have some value when late, then the rest; within
-// these by the queue's priority, and then by the least slack.
+// meet their objective, then those that have some value when late, then those beyond their
+// tenant's share, and then the rest; within these by the queue's priority, then by how well the
+// tenant is served, and then by the least slack.
 func Compare(a, b *Urgency) int {
 	return cmp.Or(
 		cmp.Compare(a.class(), b.class()),
 		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.Level, b.Level),
 		cmp.Compare(a.slack(), b.slack()),
 		cmp.Compare(a.Sequence, b.Sequence),
 	)
 }
 
+// CompareOwed puts steps that are owed their start before those beyond their tenants' shares.
+func CompareOwed(a, b *Urgency) int {
+	switch {
+	case a.BeyondShare == b.BeyondShare:
+		return 0
+	case b.BeyondShare:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // SortByUrgency sorts values by the order of Compare, the most urgent first.
 func SortByUrgency[T any](values []T, urgency func(value T) *Urgency) {
 	slices.SortStableFunc(values, func(a, b T) int { return Compare(urgency(a), urgency(b)) })
