--- a/internal/jobs/state_test.go
+++ b/internal/jobs/state_test.go
@@ -64,6 +64,9 @@
 	tasks   map[mill.TaskID]*taskRecord
 	// attempts counts the failed attempts of tasks and gangs.
 	attempts oracle.Attempts
+	// limits holds the limits of the tenants of the setup in force, and submits the submissions of the jobs.
+	limits  map[string]mill.Resources
+	submits map[string]Submit
 }
 
 // TestFuzzState applies random commands, including stale, repeated and meaningless ones, saves and loads
@@ -76,6 +79,7 @@
 			jobs:    make(map[string]mill.Workload),
 			outcome: make(map[string]mill.JobState),
 			tasks:   make(map[mill.TaskID]*taskRecord),
+			submits: make(map[string]Submit),
 		}
 
 		t.Repeat(map[string]func(*rapid.T){
@@ -97,7 +101,15 @@
 func (o *model) configure(t *rapid.T) {
 	version := uint64(rapid.IntRange(1, 20).Draw(t, "version"))
 	names := rapid.SampledFrom([][]string{{"a"}, {"a", "b"}, {"b"}}).Draw(t, "queues")
-	result := o.state.Apply(&Command{Setup: setup(version, names...)})
+	next := setup(version, names...)
+	limits := make(map[string]mill.Resources)
+
+	for _, name := range rapid.SampledFrom([][]string{nil, {"x"}, {"x", "y"}}).Draw(t, "tenants") {
+		limits[name] = mill.Resources{MilliCores: int64(rapid.IntRange(0, 3).Draw(t, "limit"))}
+		next.Tenants = append(next.Tenants, mill.Tenant{Name: name, MaxRunning: limits[name]})
+	}
+
+	result := o.state.Apply(&Command{Setup: next})
 
 	if version <= o.version {
 		assert.Equal(t, result, ResultObsolete)
@@ -108,6 +120,7 @@
 	assert.Equal(t, result, ResultApplied)
 
 	o.version = version
+	o.limits = limits
 	o.queues = make(map[string]bool)
 
 	for _, name := range names {
@@ -119,7 +132,11 @@
 	id := o.job(t)
 	queue := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "queue")
 	work := mill.Workload{Steps: []mill.Step{{Count: 2, Gang: rapid.Bool().Draw(t, "gang")}, {Count: 1, After: []int{0}}}}
-	result := o.state.Apply(&Command{Submit: &Submit{Job: id, Queue: queue, Work: work}})
+	submit := Submit{
+		Job: id, Queue: queue, Work: work, Tenant: rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "tenant"),
+		BeyondShare: rapid.Bool().Draw(t, "beyond share"),
+	}
+	result := o.state.Apply(&Command{Submit: &submit})
 
 	_, exists := o.jobs[id]
 
@@ -132,6 +149,7 @@
 		assert.Equal(t, result, ResultApplied)
 
 		o.jobs[id] = work
+		o.submits[id] = submit
 	}
 }
 
@@ -336,11 +354,21 @@
 			assert.Assert(t, !job.State().Final(), "job %s is %s", id, job.State())
 		}
 
+		assert.Equal(t, job.Tenant, o.submits[id].Tenant)
+		assert.Equal(t, job.BeyondShare, o.submits[id].BeyondShare)
+
 		_, open := o.state.OpenJobs()[id]
 		assert.Equal(t, open, o.outcome[id] == "" || job.Placed > 0)
 	}
 
 	assert.Equal(t, o.state.Len(), len(o.jobs))
+
+	for _, name := range []string{"x", "y"} {
+		limit, want := o.limits[name]
+		tenant, ok := o.state.SetupIndex().Tenant(name)
+		assert.Equal(t, ok, want)
+		assert.Assert(t, !ok || tenant.MaxRunning == limit)
+	}
 }
 
 // TestSubmitTwice checks that a job that is submitted again after it completed does not run again.
