--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -143,10 +143,6 @@
 	p.ticksSinceReply = 0
 
 	if !message.Granted {
-		if p.expectsStaleRejection() {
-			return
-		}
-
 		p.nextIndex = min(message.Index, n.log.last()) + 1
 		n.sendEntries(p)
 
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -13,28 +13,21 @@
 	nextIndex       uint64
 	ticksSinceReply int
 	unackedTicks    int
-	// largeIndex is the index of the last entry of the latest large message to the server, largeTicks how long that message
-	// may take, and largeAge how long ago it was sent.
+	// largeIndex is the index of the last entry of the latest large message to the server, and largeTicks how long that
+	// message may take.
 	largeIndex uint64
 	largeTicks int
-	largeAge   int
 }
 
 // recordSent records that the server was sent a message with that many bytes of data, up to the entry at the index.
 func (p *progress) recordSent(index uint64, bytes int) {
 	if ticks := bytes / minBytesPerTick; ticks > 0 {
-		p.largeIndex, p.largeTicks, p.largeAge = index, ticks, 0
+		p.largeIndex, p.largeTicks = index, ticks
 	}
 }
 
-// expectsStaleRejection reports whether a rejection may answer a heartbeat that was sent before a large message. It must not
-// have that message sent again; if the message is lost, later heartbeats are rejected as well.
-func (p *progress) expectsStaleRejection() bool {
-	return p.transferTicks() > 0 && p.largeAge < resendTicks
-}
-
 // transferTicks returns how long a large message that the server has not acknowledged may take beyond the usual. If it is
-// lost, the server rejects the next messages, and it is sent again; see expectsStaleRejection.
+// lost, the server rejects the next message, and it is sent again at once.
 func (p *progress) transferTicks() int {
 	if p.matchIndex >= p.largeIndex {
 		return 0
@@ -46,8 +39,6 @@
 // resendIfStalled resets nextIndex when entries have not been acknowledged for
 // resendTicks, so that they are sent again.
 func (p *progress) resendIfStalled() {
-	p.largeAge++
-
 	if p.matchIndex+1 >= p.nextIndex {
 		p.unackedTicks = 0
 
--- a/internal/raft/progress_test.go
+++ b/internal/raft/progress_test.go
@@ -26,30 +26,3 @@
 		assert.Equal(t, p.transferTicks(), 0, "the message has arrived")
 	}
 }
-
-// TestHeartbeatsBeforeASnapshotDoNotRepeatIt guards against a snapshot that is sent once for each heartbeat that was under
-// way when it was sent, and against one that is never sent again after it was lost.
-func TestHeartbeatsBeforeASnapshotDoNotRepeatIt(t *testing.T) {
-	c := newCluster(t, "a")
-	node := c.servers["a"].node
-
-	for !node.Leading() {
-		c.tick("a")
-	}
-
-	p := &progress{server: Server{VM: "b", Identity: "b", Address: "b"}, nextIndex: node.log.last() + 1}
-	p.recordSent(node.log.last(), resendTicks*minBytesPerTick)
-	node.progress.add(p)
-
-	rejection := Message{Kind: KindAppendEntriesReply, From: p.server, To: node.self.Identity, Term: node.term}
-
-	node.Step(rejection)
-	assert.Equal(t, len(node.TakeOutput().BeforeSave), 0, "a heartbeat from before the snapshot")
-
-	for range resendTicks {
-		p.resendIfStalled()
-	}
-
-	node.Step(rejection)
-	assert.Equal(t, len(node.TakeOutput().BeforeSave), 1, "the snapshot is lost")
-}
