--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -172,7 +172,7 @@
 	p.ticksSinceReply = 0
 
 	if !message.Granted {
-		if p.snapshotTicks > 0 || p.expectsStaleRejection() {
+		if p.snapshotTicks > 0 {
 			return
 		}
 
