Refuse work beyond a tenant's share while its service is full, and keep headroom in limits

The leader counts each new job against its tenant's share, marks what is beyond it, and refuses that with 429 while the queue's service has work waiting that it has no room for.

--- a/internal/core/access.go
+++ b/internal/core/access.go
@@ -12,6 +12,8 @@
 	queue *mill.Queue
 	// tenant is the name of the tenant that holds the call's key; "" for a call on a public queue without one.
 	tenant string
+	// weight is the tenant's share in jobs per second.
+	weight float64
 	// unrestricted means that the setup has no tenants.
 	unrestricted bool
 }
@@ -26,7 +28,7 @@
 
 	switch {
 	case ok:
-		return access{queue: queue, tenant: tenant.Name}, nil
+		return access{queue: queue, tenant: tenant.Name, weight: tenant.Weight}, nil
 	case queue.Public:
 		return access{queue: queue}, nil
 	default:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -79,6 +79,7 @@
 	commitLatency tally.Histogram
 	callMetrics   *callMetrics
 	confirmer     confirmer
+	shares        shares
 	ctx           context.Context
 	// leadershipTerm is the term in which this process leads, or 0; stopScheduler stops its scheduler.
 	leadershipTerm uint64
--- a/internal/core/job_calls.go
+++ b/internal/core/job_calls.go
@@ -83,13 +83,24 @@
 func (c *Core) commitSubmission(ctx context.Context, request *SubmitRequest, found *submission) (*SubmitReply, error) {
 	queue, tenant := found.access.queue.Name, found.access.tenant
 
+	admission, refused := c.shares.admit(found, c.runner.Load(), c.setupInForce(), time.Now())
+	if refused != nil {
+		c.callMetrics.recordSubmission(tenant, false)
+
+		return &SubmitReply{Receipt: *refused}, nil
+	}
+
 	results, err := c.commit(ctx, jobs.Command{Submit: &jobs.Submit{
 		Job:       found.id,
 		Queue:     queue,
 		Work:      request.Work,
 		UnixMilli: c.clocks.medianUnixMilli(time.Now()),
 		Tenant:    tenant,
+
+		BeyondShare: admission.beyondShare,
 	}})
+	admission.end(err)
+
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -76,9 +76,8 @@
 	// without one.
 	withheld []int
 	tenant   *tenantUse
-	// cut says that the limit was applied, and cutBesideUsed what of it was used then.
-	cut           bool
-	cutBesideUsed mill.Resources
+	// cut is how the limit was applied last.
+	cut limitCut
 	// beingPlaced says that the placement of a task is being committed.
 	beingPlaced bool
 	urgency     plan.Urgency
--- a/internal/lead/tenant_use.go
+++ b/internal/lead/tenant_use.go
@@ -128,26 +128,33 @@
 // keeps for earlier steps: a gang as a whole.
 func (c *candidate) cutToLimit() {
 	if c.tenant != nil {
-		c.cutBeside(c.tenant.running.Add(c.tenant.reserved))
+		limit := plan.LimitFor(&c.urgency, c.tenant.limit, c.step.PerTask.Times(c.together()))
+		c.cutBeside(c.tenant.running.Add(c.tenant.reserved), limit)
 	}
 }
 
 // cutToRuns is cutToLimit without regard to what the plan keeps for other steps.
 func (c *candidate) cutToRuns() {
 	if c.tenant != nil {
-		c.cutBeside(c.tenant.running)
+		c.cutBeside(c.tenant.running, c.tenant.limit)
 	}
 }
 
-// cutBeside withholds the tasks that the limit does not let start beside what is used of it.
-func (c *candidate) cutBeside(used mill.Resources) {
-	if c.tenant.limit == (mill.Resources{}) || c.cut && c.cutBesideUsed == used {
+// limitCut is the cut that was made last, so that it is not made again.
+type limitCut struct {
+	done        bool
+	used, limit mill.Resources
+}
+
+// cutBeside withholds the tasks that a limit does not let start beside what is used of it.
+func (c *candidate) cutBeside(used, limit mill.Resources) {
+	if limit == (mill.Resources{}) || c.cut == (limitCut{done: true, used: used, limit: limit}) {
 		return
 	}
 
-	c.cut, c.cutBesideUsed = true, used
+	c.cut = limitCut{done: true, used: used, limit: limit}
 	c.waiting = append(c.waiting, c.withheld...)
-	count := plan.TasksWithinLimit(used, c.tenant.limit, c.step.PerTask, len(c.waiting), c.step.Gang)
+	count := plan.TasksWithinLimit(used, limit, c.step.PerTask, len(c.waiting), c.step.Gang)
 	c.waiting, c.withheld = c.waiting[:count], c.waiting[count:]
 }
 
--- a/internal/plan/tenant_limit.go
+++ b/internal/plan/tenant_limit.go
@@ -32,3 +32,33 @@
 
 	return count
 }
+
+// LimitFor returns the limit up to which a tenant's runs may grow by a step, of which at least the given resources start
+// together. It keeps headroom for the tenant's urgent steps, as MayStart does in a pool: long deferrable tasks that take all
+// of the limit would hold it for seconds. A step that needs more than that leaves gets all of the limit.
+func LimitFor(urgency *Urgency, limit, together mill.Resources) mill.Resources {
+	if !urgency.Deferrable() {
+		return limit
+	}
+
+	kept := mill.Resources{
+		MilliCores:   withHeadroom(limit.MilliCores),
+		MemoryMiB:    withHeadroom(limit.MemoryMiB),
+		Accelerators: withHeadroom(limit.Accelerators),
+	}
+
+	if TasksWithinLimit(mill.Resources{}, kept, together, 1, false) == 0 {
+		return limit
+	}
+
+	return kept
+}
+
+// withHeadroom returns what an amount leaves without headroom; 0, which is no limit, stays 0.
+func withHeadroom(amount int64) int64 {
+	if amount <= 0 {
+		return amount
+	}
+
+	return max(1, int64(float64(amount)*(1-headroomShare)))
+}
--- a/pkg/mill/resources.go
+++ b/pkg/mill/resources.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// Times returns the resources of n times as much.
+func (r Resources) Times(n int) Resources {
+	return Resources{
+		MilliCores: int64(n) * r.MilliCores, MemoryMiB: int64(n) * r.MemoryMiB, Accelerators: int64(n) * r.Accelerators,
+	}
+}
+
 // Sub returns r minus other.
 func (r Resources) Sub(other Resources) Resources {
 	return Resources{
