--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -32,7 +32,9 @@
 }
 
 // admit returns the admission of a new job, or the receipt with which it is refused.
-func (s *shares) admit(found *submission, runner *lead.Runner, setup *mill.Setup, now time.Time) (*admission, *mill.Receipt) {
+func (s *shares) admit(
+	found *submission, runner *lead.Runner, setup *mill.Setup, now time.Time,
+) (*admission, *mill.Receipt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
--- a/internal/lead/committed.go
+++ b/internal/lead/committed.go
@@ -11,7 +11,12 @@
 // then dropped, and their finished runs are proposed again.
 func (s *Scheduler) Committed(commands []jobs.Command, results []jobs.Result, err error, now time.Time) {
 	for i := range commands {
-		if err == nil && results[i] == jobs.ResultUnreadable {
+		result := jobs.ResultObsolete
+		if err == nil && i < len(results) {
+			result = results[i]
+		}
+
+		if result == jobs.ResultUnreadable {
 			s.commandUnreadable(&commands[i], now)
 
 			continue
@@ -19,7 +24,7 @@
 
 		switch {
 		case commands[i].Place != nil:
-			s.placementCommitted(commands[i].Place, err == nil && results[i] == jobs.ResultApplied, now)
+			s.placementCommitted(commands[i].Place, result == jobs.ResultApplied, now)
 		case commands[i].Finish != nil:
 			s.finishCommitted(commands[i].Finish, err == nil, now)
 		case commands[i].RecordWorker != nil, commands[i].ForgetWorker != "":
--- a/internal/plan/tenant_limit_test.go
+++ b/internal/plan/tenant_limit_test.go
@@ -50,14 +50,15 @@
 	})
 }
 
-// TestDeferrableStepsLeaveHeadroomInALimit guards against a tenant whose urgent jobs wait until its long deferrable tasks end,
-// and against a step that never starts because it needs the headroom.
+// TestDeferrableStepsLeaveHeadroomInALimit guards against a tenant whose urgent jobs wait until its long deferrable tasks
+// end, and against a step that never starts because it needs the headroom.
 func TestDeferrableStepsLeaveHeadroomInALimit(t *testing.T) {
 	limit := mill.Resources{MilliCores: 1000, Accelerators: 10}
 	deferrable := &plan.Urgency{Objective: time.Hour, Remaining: time.Second}
 	urgent := &plan.Urgency{Objective: time.Second, Remaining: time.Second}
 
 	assert.Equal(t, plan.LimitFor(urgent, limit, mill.Resources{MilliCores: 10}), limit)
-	assert.Equal(t, plan.LimitFor(deferrable, limit, mill.Resources{MilliCores: 10}), mill.Resources{MilliCores: 850, Accelerators: 8})
+	assert.Equal(t, plan.LimitFor(deferrable, limit, mill.Resources{MilliCores: 10}),
+		mill.Resources{MilliCores: 850, Accelerators: 8})
 	assert.Equal(t, plan.LimitFor(deferrable, limit, mill.Resources{MilliCores: 900}), limit)
 }
