--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,8 @@
 	// Folder is the data folder.
 	Folder string
 	Bounds lead.Bounds
+	// Shares is what tenants may submit beyond their weights.
+	Shares plan.ShareAllowance
 	Orders mill.WorkerOrders
 	// OrderQueue keeps the Orders for the replies to worker reports; nil if orders are sent by calls.
 	OrderQueue *mail.OrderQueue
@@ -130,6 +132,7 @@
 	c.leaderClient = NewLeaderClient(c.client, config.Seeds, config.Address)
 	c.leaderClient.SetScope(config.Scope)
 	c.commitLatency = newCommitHistogram(config.Scope)
+	c.shares.meter = plan.NewShareMeter(config.Shares)
 	c.callMetrics = newCallMetrics(config.Scope)
 	c.confirmer.confirm = c.commitNothing
 
--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -47,8 +47,12 @@
 		admitted.beyondShare = beyond
 
 		if beyond {
-			saturated := runner != nil && runner.Saturated(found.access.queue.Service)
-			if ok, retryAfter := plan.AdmitBeyondShare(found.id, saturated, wait); !ok {
+			var saturatedFor time.Duration
+			if runner != nil {
+				saturatedFor = runner.SaturatedFor(found.access.queue.Service)
+			}
+
+			if ok, retryAfter := plan.AdmitBeyondShare(found.id, saturatedFor, wait); !ok {
 				s.logRefusal(found, wait, now)
 
 				return nil, &mill.Receipt{
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -83,10 +83,10 @@
 	}
 }
 
-// Saturated reports whether a service was full at the last plan while work for it waited; false if that is not known or
-// was a while ago. It is safe for concurrent use.
-func (r *Runner) Saturated(service string) bool {
-	return r.saturation.Load().at(service, time.Now())
+// SaturatedFor returns for how long a service has been full at each plan while work for it waited; 0 if that is not known
+// or was a while ago. It is safe for concurrent use.
+func (r *Runner) SaturatedFor(service string) time.Duration {
+	return r.saturation.Load().lastsFor(service, time.Now())
 }
 
 // MayAct reports whether this process has shown that it leads since it last stood still.
--- a/internal/lead/saturation.go
+++ b/internal/lead/saturation.go
@@ -15,6 +15,8 @@
 type saturation struct {
 	plannedAt time.Time
 	services  map[string]bool
+	// since holds since when each saturated service has been so at each plan.
+	since map[string]time.Time
 }
 
 // at reports whether a service is known to be saturated at a time.
@@ -22,6 +24,27 @@
 	return s != nil && s.services[service] && now.Sub(s.plannedAt) < maxSaturationAge
 }
 
+// lastsFor returns for how long a service has been saturated at a time; 0 if it is not known to be.
+func (s *saturation) lastsFor(service string, now time.Time) time.Duration {
+	if !s.at(service, now) {
+		return 0
+	}
+
+	return now.Sub(s.since[service])
+}
+
+// continueFrom takes over since when services are saturated from the plan before.
+func (s *saturation) continueFrom(earlier *saturation) {
+	s.since = make(map[string]time.Time, len(s.services))
+
+	for service := range s.services {
+		s.since[service] = s.plannedAt
+		if earlier.at(service, s.plannedAt) {
+			s.since[service] = earlier.since[service]
+		}
+	}
+}
+
 // findSaturation returns which services are full after the plan while a step waits for room in them that its tenant's limit
 // does not hold back.
 func (s *Scheduler) findSaturation(candidates []*candidate, p *pass) *saturation {
--- a/internal/plan/share_meter.go
+++ b/internal/plan/share_meter.go
@@ -10,13 +10,39 @@
 // within its share, and what is saved up is too little to crowd out others.
 const shareWindow = 2 * time.Second
 
+// ShareAllowance is what a tenant may submit beyond its weight before that counts as beyond its share. The zero value allows
+// shareWindow of unused share.
+type ShareAllowance struct {
+	// Window is for how long unused share is saved up.
+	Window time.Duration
+	// Overage is by which share of itself the weight may be exceeded, and Slack a number of jobs that is always allowed.
+	Overage float64
+	Slack   float64
+}
+
+// rate returns how many jobs a second a weight allows.
+func (a *ShareAllowance) rate(weight float64) float64 {
+	return weight * (1 + max(0, a.Overage))
+}
+
+// burst returns how many jobs may be saved up.
+func (a *ShareAllowance) burst(weight float64) float64 {
+	window := a.Window
+	if window <= 0 {
+		window = shareWindow
+	}
+
+	return max(1, a.rate(weight)*window.Seconds()+max(0, a.Slack))
+}
+
 // ShareMeter decides which submissions are beyond the shares of their tenants: more than a tenant's weight in jobs per
-// second, of which shareWindow is saved up and at least one job. A tenant without a weight has no share if any tenant of the
+// second, beyond the allowance. A tenant without a weight has no share if any tenant of the
 // setup has a weight, and all of its work is within its share if none has. The zero value is ready for use.
 //
 // It addresses a tenant that submits several times its usual rate for some seconds.
 type ShareMeter struct {
-	setup *mill.Setup
+	allowance ShareAllowance
+	setup     *mill.Setup
 	// weighted says that a tenant of the setup has a weight.
 	weighted bool
 	buckets  map[string]*bucket
@@ -28,6 +54,11 @@
 	at     time.Time
 }
 
+// NewShareMeter returns a meter with an allowance.
+func NewShareMeter(allowance ShareAllowance) ShareMeter {
+	return ShareMeter{allowance: allowance}
+}
+
 // Configure applies a setup, and drops what is known of tenants that it does not name. It costs nothing for the setup that
 // was applied last.
 func (m *ShareMeter) Configure(setup *mill.Setup) {
@@ -64,7 +95,7 @@
 
 	b := m.refilled(tenant, weight, now)
 	if b.tokens < 1 {
-		return true, time.Duration((1 - b.tokens) / weight * float64(time.Second))
+		return true, time.Duration((1 - b.tokens) / m.allowance.rate(weight) * float64(time.Second))
 	}
 
 	b.tokens--
@@ -74,7 +105,7 @@
 
 // refilled returns a tenant's bucket with what has been added to it until now.
 func (m *ShareMeter) refilled(tenant string, weight float64, now time.Time) *bucket {
-	most := max(1, weight*shareWindow.Seconds())
+	most := m.allowance.burst(weight)
 
 	b, ok := m.buckets[tenant]
 	if !ok {
@@ -87,7 +118,7 @@
 	}
 
 	if passed := now.Sub(b.at); passed > 0 {
-		b.tokens += passed.Seconds() * weight
+		b.tokens += passed.Seconds() * m.allowance.rate(weight)
 		b.at = now
 	}
 
