--- a/internal/plan/headroom.go
+++ b/internal/plan/headroom.go
@@ -8,11 +8,11 @@
 const headroomShare = 0.15
 
 // Deferrable reports whether delaying the step is harmless: its job has ample slack, or is so late
-// that completing it has no value, or nothing is owed to it. Long-running steps have value only while
-// they run, so those within their tenant's share are never deferrable.
+// that completing it has no value. Long-running steps have value only while they run, so they are
+// never deferrable.
 func (u *Urgency) Deferrable() bool {
-	if u.LongRunning || u.BeyondShare {
-		return u.BeyondShare
+	if u.LongRunning {
+		return false
 	}
 
 	return u.class() == classTooLate || u.SpeedPreference() < 0
--- a/internal/plan/speed_preference.go
+++ b/internal/plan/speed_preference.go
@@ -23,9 +23,9 @@
 }
 
 // SpeedPreference returns the step's preference for fast workers; a long-running step
-// does not finish earlier on them, and they are owed to no work beyond its tenant's share.
+// does not finish earlier on them.
 func (u *Urgency) SpeedPreference() float64 {
-	if u.LongRunning || u.BeyondShare {
+	if u.LongRunning {
 		return -1
 	}
 
--- a/internal/plan/urgency.go
+++ b/internal/plan/urgency.go
@@ -47,21 +47,14 @@
 
 // class returns the step's class, by the value of starting it now.
 func (u *Urgency) class() int {
-	class := classOnTime
-
 	switch {
 	case u.LongRunning || u.slack() >= 0:
+		return classOnTime
 	case lateFactor*u.Objective-u.Age-u.Remaining >= 0:
-		class = classLate
+		return classLate
 	default:
 		return classTooLate
 	}
-
-	if u.BeyondShare {
-		class += classBeyondShare
-	}
-
-	return class
 }
 
 // The classes of steps, by decreasing value.
@@ -70,22 +63,19 @@
 	classOnTime = iota
 	// classLate steps miss their objective but still have some value.
 	classLate
-	// classBeyondShare is that of steps beyond their tenant's share that can still meet their objective, and the class after
-	// it that of those that miss it but still have some value.
-	classBeyondShare
-	classBeyondShareLate
 	// classTooLate steps have no value any more.
 	classTooLate
 )
 
 // Compare orders steps for a pool with more work than capacity: first those that can still
-// meet their objective, then those that have some value when late, then those beyond their
-// tenant's share, and then the rest; within these by the queue's priority, then by how well the
-// tenant is served, and then by the least slack.
+// meet their objective, then those that have some value when late, then the rest; within
+// these by the queue's priority, then those within their tenant's share before those beyond
+// it, then by how well the tenant is served, and then by the least slack.
 func Compare(a, b *Urgency) int {
 	return cmp.Or(
 		cmp.Compare(a.class(), b.class()),
 		cmp.Compare(a.Priority, b.Priority),
+		CompareOwed(a, b),
 		cmp.Compare(a.Level, b.Level),
 		cmp.Compare(a.slack(), b.slack()),
 		cmp.Compare(a.Sequence, b.Sequence),
