--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -41,24 +41,9 @@
 	admitted := &admission{shares: s, job: found.id}
 
 	if found.access.tenant != "" && setup != nil && s.committing[found.id] == 0 {
-		s.meter.Configure(setup)
-
-		beyond, wait := s.meter.Take(found.access.tenant, found.access.weight, now)
-		admitted.beyondShare = beyond
-
-		if beyond {
-			var saturatedFor time.Duration
-			if runner != nil {
-				saturatedFor = runner.SaturatedFor(found.access.queue.Service)
-			}
-
-			if ok, retryAfter := plan.AdmitBeyondShare(found.id, saturatedFor, wait); !ok {
-				s.logRefusal(found, wait, now)
-
-				return nil, &mill.Receipt{
-					Verdict: mill.VerdictBeyondShare, RetryAfter: retryAfter, Reason: "the tenant sends more than its share",
-				}
-			}
+		var refused *mill.Receipt
+		if admitted.beyondShare, refused = s.judge(found, runner, setup, now); refused != nil {
+			return nil, refused
 		}
 	}
 
@@ -71,6 +56,29 @@
 	return admitted, nil
 }
 
+// judge reports whether a new job is beyond its tenant's share, and returns the receipt if it is refused for that.
+func (s *shares) judge(
+	found *submission, runner *lead.Runner, setup *mill.Setup, now time.Time,
+) (beyond bool, refused *mill.Receipt) {
+	s.meter.Configure(setup)
+
+	beyond, wait := s.meter.Take(found.access.tenant, found.access.weight, now)
+	if !beyond || runner == nil {
+		return beyond, nil
+	}
+
+	admit, retryAfter := plan.AdmitBeyondShare(found.id, runner.SaturatedFor(found.access.queue.Service), wait)
+	if admit {
+		return true, nil
+	}
+
+	s.logRefusal(found, wait, now)
+
+	return true, &mill.Receipt{
+		Verdict: mill.VerdictBeyondShare, RetryAfter: retryAfter, Reason: "the tenant sends more than its share",
+	}
+}
+
 // unknownOutcomeTime is how long after its commit has failed a job may still be committed: no proposal of this leader, or
 // of one that it succeeded, stays undecided for longer.
 const unknownOutcomeTime = 10 * time.Second
--- a/internal/plan/preemption.go
+++ b/internal/plan/preemption.go
@@ -23,8 +23,8 @@
 }
 
 // MayPreempt reports whether a task may be preempted for one of another job that can still meet its
-// objective and is within its tenant's share: the victim's work must be checkpointed, and it must be beyond its tenant's share, or its
-// queue must have a lower priority and its job enough slack.
+// objective and is within its tenant's share: the victim's work must be checkpointed, and it must be
+// beyond its tenant's share, or its queue must have a lower priority and its job enough slack.
 func MayPreempt(victim, preemptor *Urgency, checkpointing bool) bool {
 	if !checkpointing || victim.LongRunning || preemptor.BeyondShare || preemptor.class() != classOnTime {
 		return false
