--- a/internal/core/tenants.go
+++ b/internal/core/tenants.go
@@ -20,7 +20,8 @@
 	Weight float64 `json:"weight"`
 	// Keys is the number of the tenant's keys.
 	Keys int `json:"keys"`
-	// Limit is what the tenant's running tasks may reserve together; 0 is no limit. Running is what they reserve.
+	// Limit is what the tenant's running tasks may take together; 0 is no limit. Running is what they take, as the limit counts
+	// it: a best-effort task with all its cores.
 	Limit   mill.Resources `json:"limit"`
 	Running mill.Resources `json:"running"`
 	// Waiting is the number of unfinished jobs that have nothing running.
@@ -88,11 +89,7 @@
 
 	for _, occurrence := range job.Occurrences {
 		for i := range occurrence.Steps {
-			placed := int64(occurrence.Steps[i].Placed)
-			each := job.Work.Steps[i].Reserves()
-			s.Running = s.Running.Add(mill.Resources{
-				MilliCores: placed * each.MilliCores, MemoryMiB: placed * each.MemoryMiB, Accelerators: placed * each.Accelerators,
-			})
+			s.Running = s.Running.Add(job.Work.Steps[i].PerTask.Times(occurrence.Steps[i].Placed))
 		}
 	}
 }
