Wait for the leases that leaders grant, not for the longest that workers accept

Leaders of all builds grant at most 6 s, as absolute times of the worker's clock, so that an order that is carried out late does not extend one. The wait is 7.1 s now.

--- a/internal/lead/bounds.go
+++ b/internal/lead/bounds.go
@@ -4,7 +4,7 @@
 
 // Bounds are the deployment's time limits that the scheduler depends on.
 type Bounds struct {
-	// MaxLease is the longest lease that any scheduler of the deployment may have granted.
+	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
 	// GangTimeout is how long a worker lets members of a gang wait for the others.
 	GangTimeout time.Duration
@@ -64,7 +64,8 @@
 // defaultLease is how long a worker keeps its runs without hearing from the scheduler. It is long
 // enough to cover a power loss of some seconds of all processes, an election and a round of
 // renewals, and short enough that a long-running task of a lost worker runs again within the
-// required nine seconds.
+// required nine seconds. A new leader waits for leases of this length, so a build that grants
+// longer ones must follow one that waits for them.
 const defaultLease = 6 * time.Second
 
 // Lease returns how long a worker keeps its runs without hearing from the scheduler.
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -411,9 +411,9 @@
 }
 
 // earlierLeaseLeft returns how much longer the leases that an earlier leader granted may last; negative if they have
-// expired. They are not known, so the longest possible one is counted from the start of this term.
+// expired. They are not known, so the longest one that leaders grant is counted from the start of this term.
 func (s *Scheduler) earlierLeaseLeft(now time.Time) time.Duration {
-	longest := time.Duration(float64(s.bounds.MaxLease)/(1-clockDrift)) + takeoverMargin
+	longest := time.Duration(float64(s.bounds.Lease())/(1-clockDrift)) + takeoverMargin
 
 	return longest - now.Sub(s.termStart)
 }
