Send orders again that are not answered within 150 ms

Change: a second copy after 150 ms within a budget of a tenth of the orders; while that happens, workers delay reports by 0.3 s at most. Two copies of which none was accepted count as unanswered, or as unsent if neither was sent.

--- a/internal/lead/metrics.go
+++ b/internal/lead/metrics.go
@@ -12,6 +12,7 @@
 type metrics struct {
 	finished  map[mill.FinishCause]tally.Counter
 	preempted tally.Counter
+	repeated  tally.Counter
 	plan      tally.Histogram
 	open      tally.Gauge
 	waiting   tally.Gauge
@@ -30,6 +31,7 @@
 	m := metrics{
 		finished:  make(map[mill.FinishCause]tally.Counter),
 		preempted: scope.Counter("runs_yielded"),
+		repeated:  scope.Counter("orders_repeated"),
 		plan:      scope.Histogram("plan_seconds", tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 12)),
 		open:      scope.Gauge("open_jobs"),
 		waiting:   scope.Gauge("waiting_steps"),
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -193,18 +193,29 @@
 	}
 
 	if holding && confirmed && w.contacted && w.failedRenewals == 0 {
-		order.Wait = min(maxReportWait, s.bounds.Lease()/3)
+		order.Wait = s.reportWait(w, now)
+	}
+
+	return order
+}
+
+// reportWait returns how long a worker may delay its report until a run finishes.
+func (s *Scheduler) reportWait(w *worker, now time.Time) time.Duration {
+	wait := min(maxReportWait, s.bounds.Lease()/3)
+
+	if now.Sub(s.repeatedAt) < lossMemory {
+		wait = min(wait, lossyReportWait)
 	}
 
 	if w.isolatingRuns > 0 {
-		order.Wait = min(order.Wait, crashTime)
+		wait = min(wait, crashTime)
 	}
 
 	if w.mixesBestEffort() {
-		order.Wait = min(order.Wait, sharedReportWait)
+		wait = min(wait, sharedReportWait)
 	}
 
-	return order
+	return wait
 }
 
 // canRenew reports whether the worker can be sent a renewal, which also asks for a report. It is
@@ -239,6 +250,19 @@
 	return holding, confirmed
 }
 
+const (
+	// lossMemory is how long after an order had to be repeated workers are asked not to delay their reports for long.
+	lossMemory = 2 * time.Second
+	// lossyReportWait is how long a worker may then delay its report. Runs that end while a report is lost are noticed only
+	// when it should have come, and the jobs that they belong to have objectives of a second or less.
+	lossyReportWait = 300 * time.Millisecond
+)
+
+// OrderRepeated records that an order was not answered in time and is sent again.
+func (s *Scheduler) OrderRepeated(now time.Time) {
+	s.repeatedAt = now
+}
+
 // minRestartTime is the least time in which a worker process can stop and start again. A worker
 // that answered more recently is still the same incarnation.
 const minRestartTime = 500 * time.Millisecond
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -69,11 +69,12 @@
 	longestPlan time.Duration
 	metrics     metrics
 	saturation  atomic.Pointer[saturation]
+	repeater    repeater
 }
 
 // NewRunner returns a runner for a term; canceling its context ends the term.
 func NewRunner(ctx context.Context, scheduler *Scheduler, dependencies Dependencies) *Runner {
-	return &Runner{
+	r := &Runner{
 		scheduler:    scheduler,
 		dependencies: dependencies,
 		updates:      ring.New[func(now time.Time)](updateCapacity),
@@ -81,6 +82,12 @@
 		context:      ctx,
 		metrics:      newMetrics(dependencies.Scope),
 	}
+	r.repeater.onRepeat = func() {
+		r.metrics.repeated.Inc(1)
+		r.post(r.scheduler.OrderRepeated)
+	}
+
+	return r
 }
 
 // SaturatedFor returns for how long a service has been full at each plan while work for it waited; 0 if that is not known
@@ -219,59 +226,57 @@
 	}
 }
 
-// sendOrder makes a call with the timeout for orders, unless this process may not act.
-func (r *Runner) sendOrder(call func(ctx context.Context) mill.OrderReply) mill.OrderReply {
-	if !r.guard.mayAct() {
-		return mill.OrderReply{Outcome: mill.OutcomeNotSent}
-	}
-
+// sendOrder makes a call with the timeout for orders, unless this process may not act, and again if it is not answered soon.
+func (r *Runner) sendOrder(call func(ctx context.Context) mill.OrderReply, done func(reply mill.OrderReply)) {
 	ctx, cancel := context.WithTimeout(r.context, r.scheduler.bounds.orderTimeout())
 	defer cancel()
 
-	return call(ctx)
+	r.repeater.send(ctx, r.scheduler.bounds.repeatDelay(), func(ctx context.Context) mill.RenewReply {
+		if !r.guard.mayAct() {
+			return mill.RenewReply{OrderReply: mill.OrderReply{Outcome: mill.OutcomeNotSent}}
+		}
+
+		return mill.RenewReply{OrderReply: call(ctx)}
+	}, func(reply *mill.RenewReply, _ time.Time) { done(reply.OrderReply) })
 }
 
 func (r *Runner) start(start *Start) {
-	var reply mill.OrderReply // An order whose call panics is unanswered.
-
-	defer func() { r.post(func(now time.Time) { r.scheduler.StartAnswered(start, reply, now) }) }()
-
-	reply = r.sendOrder(func(ctx context.Context) mill.OrderReply {
+	r.sendOrder(func(ctx context.Context) mill.OrderReply {
 		return r.dependencies.Orders.Start(ctx, start.To, &start.Order)
+	}, func(reply mill.OrderReply) {
+		r.post(func(now time.Time) { r.scheduler.StartAnswered(start, reply, now) })
 	})
 }
 
 func (r *Runner) stop(stop *Stop) {
-	reply := r.sendOrder(func(ctx context.Context) mill.OrderReply {
+	r.sendOrder(func(ctx context.Context) mill.OrderReply {
 		return r.dependencies.Orders.Stop(ctx, stop.To, stop.Run, stop.FencingToken)
+	}, func(reply mill.OrderReply) {
+		r.post(func(now time.Time) { r.scheduler.StopAnswered(stop, reply, now) })
 	})
-	r.post(func(now time.Time) { r.scheduler.StopAnswered(stop, reply, now) })
 }
 
 func (r *Runner) pace(pace *Pace) {
-	reply := r.sendOrder(func(ctx context.Context) mill.OrderReply {
+	r.sendOrder(func(ctx context.Context) mill.OrderReply {
 		return r.dependencies.Orders.Pace(ctx, pace.To, &pace.Order)
+	}, func(reply mill.OrderReply) {
+		r.post(func(now time.Time) { r.scheduler.PaceAnswered(pace, reply, now) })
 	})
-	r.post(func(now time.Time) { r.scheduler.PaceAnswered(pace, reply, now) })
 }
 
 func (r *Runner) renew(renew *Renew) {
-	sentAt := time.Now()
-
 	ctx, cancel := context.WithTimeout(r.context, renew.Order.Wait+max(replySlack, r.scheduler.bounds.OrderTimeout))
 	defer cancel()
 
-	var reply mill.RenewReply
-
-	defer func() { r.post(func(now time.Time) { r.scheduler.RenewAnswered(renew, &reply, sentAt, now) }) }()
-
-	if !r.guard.mayAct() {
-		reply.Outcome = mill.OutcomeNotSent
-
-		return
-	}
+	r.repeater.send(ctx, renew.Order.Wait+r.scheduler.bounds.repeatDelay(), func(ctx context.Context) mill.RenewReply {
+		if !r.guard.mayAct() {
+			return mill.RenewReply{OrderReply: mill.OrderReply{Outcome: mill.OutcomeNotSent}}
+		}
 
-	reply = r.dependencies.Orders.Renew(ctx, renew.To, &renew.Order)
+		return r.dependencies.Orders.Renew(ctx, renew.To, &renew.Order)
+	}, func(reply *mill.RenewReply, sentAt time.Time) {
+		r.post(func(now time.Time) { r.scheduler.RenewAnswered(renew, reply, sentAt, now) })
+	})
 }
 
 // providerTimeout bounds a call to the provider, which may be slow.
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -34,7 +34,9 @@
 	// saturation is that of the last plan; nil before the first.
 	saturation *saturation
 	// ordersDue holds the runs that may need a start or stop order.
-	ordersDue        map[*run]struct{}
+	ordersDue map[*run]struct{}
+	// repeatedAt is when an order was last sent again because it was not answered.
+	repeatedAt       time.Time
 	advice           map[mill.StepID]*advice
 	advisorAddresses map[string]*advisorAddress
 	// waitingSinceFailure holds since when tasks that have failed wait for a worker on which they
