Keep the runs of gangs' members that end after another one completed the gang

When one member of a gang ends as done, the state marks all members as done, and a new leader did not know the others, which may still run until their ends are read. It started work of their tenant beside them, above max_count, and placed tasks on their workers beyond the workers' capacity.

The state now keeps these runs (jobs.EndingRun) until their ends are committed, and a new leader takes them over like other inherited runs. The field is optional; earlier builds skip it. Only runs of tenants' jobs are kept, so that deployments without tenants store what they stored before.

The simulation can let the members of a gang that is done end at different times.

--- a/internal/jobs/builds_fuzz_test.go
+++ b/internal/jobs/builds_fuzz_test.go
@@ -137,7 +137,8 @@
 
 	b.work[job] = work
 	b.queue[job] = rapid.SampledFrom([]string{"1", "2", "3", "4"}).Draw(t, "attempts")
-	b.apply(&Command{Submit: &Submit{Job: job, Queue: b.queue[job], Work: work}})
+	tenant := rapid.SampledFrom([]string{"", "t"}).Draw(t, "tenant")
+	b.apply(&Command{Submit: &Submit{Job: job, Queue: b.queue[job], Work: work, Tenant: tenant}})
 }
 
 func (b *builds) apply(command *Command) Result {
@@ -396,6 +397,8 @@
 
 	assert.NilError(t, wire.Decode(data, &stored))
 
+	stored.Ending = nil
+
 	for id, job := range stored.Jobs {
 		b.uncertain[id] = true
 
@@ -419,6 +422,13 @@
 }
 
 func (b *builds) check(t *rapid.T) {
+	for _, ending := range b.replica.EndingRuns() {
+		_, placed := b.active[ending.Task]
+		kept := placed || slices.ContainsFunc(b.listed, func(end gangEnd) bool { return end.run.Task == ending.Task })
+		lost := b.uncertain[ending.Task.Job]
+		assert.Assert(t, ending.Tenant == "t" && (kept || lost), "%s is kept after its end is committed", ending.Task)
+	}
+
 	for _, job := range slices.Sorted(maps.Keys(b.work)) {
 		outcome := b.outcome(job)
 		assert.Equal(t, outcome, b.earlier.jobs[job].outcome, "replicas hold different outcomes of %s", job)
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -37,6 +37,8 @@
 	Waves map[int]*Wave `cbor:"6,keyasint,omitempty"`
 	// Learned is what leaders have learned about the recorded workers and the queues.
 	Learned Learned `cbor:"7,keyasint,omitempty"`
+	// Ending holds the runs that may be active though their tasks are done. Earlier builds ignore it.
+	Ending []EndingRun `cbor:"8,keyasint,omitempty"`
 }
 
 // NewState returns an empty state.
@@ -252,6 +254,8 @@
 }
 
 func (s *State) finishRun(finished *Finish) Result {
+	s.forgetEnding(finished)
+
 	job, ok := s.stored.Jobs[finished.Task.Job]
 	if !ok {
 		return ResultObsolete
@@ -325,6 +329,8 @@
 		if member.Phase == TaskPlaced {
 			step.Placed--
 			job.Placed--
+
+			s.keepEnding(job, finished.Task.Task(i), member)
 		}
 
 		member.Phase = TaskDone
--- a/internal/lead/gang_run.go
+++ b/internal/lead/gang_run.go
@@ -46,6 +46,30 @@
 	r.gang.slownesses = append(r.gang.slownesses, &r.worker.slowness)
 }
 
+// inheritEnding takes over the run of a gang's member that may be active though another member's end has completed the gang.
+func (s *Scheduler) inheritEnding(ending *jobs.EndingRun) {
+	r := &run{
+		task:     ending.Task,
+		number:   ending.Run,
+		worker:   s.worker(ending.Worker),
+		queue:    ending.Queue,
+		tenant:   ending.Tenant,
+		step:     &ending.Step,
+		reserves: ending.Step.Reserves(),
+		phase:    runInherited,
+		gang:     s.findGangRun(ending.Task.StepID, ending.Step.Count, ending.Run),
+	}
+
+	if r.gang == nil {
+		r.gang = &gangRun{
+			step: r.task.StepID, members: r.step.Count, queue: r.queue, attempt: &jobs.GangRun{}, done: true,
+		}
+	}
+
+	r.worker.mayHoldInherited = true
+	s.addRun(r)
+}
+
 // findGangRun returns what the known members of a gang's run share; nil if none is known.
 func (s *Scheduler) findGangRun(step mill.StepID, members, number int) *gangRun {
 	for index := range members {
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -218,9 +218,16 @@
 	return members
 }
 
-// completeGang finishes the other members of a gang's run together with the first.
+// completeGang finishes the other members of a gang's run together with the first, or up to memberLag later.
 func (sim *simulation) completeGang(a *execution) {
 	for _, member := range sim.gangMembers(a) {
+		if sim.memberLag > 0 {
+			lag := sim.memberLag * time.Duration(1+sim.choose("lag", 4)) / 4
+			member.end = &memberEnd{at: sim.now.Add(lag), cause: mill.FinishDone}
+
+			continue
+		}
+
 		for _, e := range sim.executors {
 			if e.running[member.ref.Task] == member {
 				e.finish(member, mill.FinishDone)
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -136,6 +136,10 @@
 		s.inheritJob(job)
 	}
 
+	for _, ending := range state.EndingRuns() {
+		s.inheritEnding(&ending)
+	}
+
 	return s
 }
 
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -105,6 +105,8 @@
 	failingJobs map[string]bool
 	failingRuns map[string]int
 	gangFaults  gangFaults
+	// memberLag is how much later than the first one the other members of a gang that is done end at the most.
+	memberLag time.Duration
 	// faultless says that the test injects no faults.
 	faultless bool
 	// disturbedAt is when the leader or an order was last disturbed; see checkCanceled.
--- a/internal/lead/tenant_fuzz_test.go
+++ b/internal/lead/tenant_fuzz_test.go
@@ -11,11 +11,12 @@
 
 // TestFuzzTenants runs random jobs of tenants whose limits change, through lost and late orders and answers, crashes and
 // changes of leader. It guards against a start above the limit of its tenant, and against work that a limit holds up for
-// good.
+// good. Members of a gang that is done end at different times.
 func TestFuzzTenants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t, t, 6)
 		sim.faultless = false
+		sim.memberLag = time.Duration(rapid.IntRange(0, 20).Draw(t, "member lag")) * 100 * time.Millisecond
 
 		draw := &tenantDrawer{actionDrawer: actionDrawer{sim: sim}}
 		draw.configure(t)
--- a/internal/lead/tenant_limit_test.go
+++ b/internal/lead/tenant_limit_test.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -135,6 +136,60 @@
 	assert.Equal(t, len(placements(next, state, simStart)), 0)
 }
 
+// TestNewLeaderCountsMembersOfCompletedGang guards against starts above a tenant's limit, or a worker's capacity, beside
+// members of a gang that run on after the end of another member has completed it, under a leader that has not placed them.
+// One of their workers does not answer. Workers that drain take no new tasks, so that only the limit can be exceeded.
+func TestNewLeaderCountsMembersOfCompletedGang(t *testing.T) {
+	for _, draining := range []bool{true, false} {
+		t.Run(fmt.Sprintf("draining %t", draining), func(t *testing.T) { playCompletedGang(t, draining) })
+	}
+}
+
+func playCompletedGang(t *testing.T, draining bool) {
+	t.Helper()
+
+	const limit, cores = 8000, 2000
+
+	sim := newSimulation(t, nil, 8)
+	setup := simSetup()
+	setup.Version, setup.Tenants = 2, []mill.Tenant{{Name: "t", MaxRunning: mill.Resources{MilliCores: limit}}}
+	sim.configure(setup)
+	sim.run(2 * simApplyTime) // Until then the setup without limits may be in force.
+
+	sim.nextTenant, sim.memberLag = "t", 4*time.Second
+	sim.submit(gangJob, "free", time.Second, gangStep(limit/cores, cores))
+
+	members := sim.awaitGang(t, firstTask(gangJob))
+	for _, member := range members {
+		sim.holder(member).draining = draining
+	}
+
+	for sim.gangOutcome() == "" {
+		sim.step()
+	}
+
+	sim.holder(members[len(members)-1]).mute = true
+
+	for range 2 {
+		stored, err := sim.state.Save()
+		assert.NilError(t, err)
+		assert.NilError(t, sim.state.Load(stored))
+
+		sim.newLeader()
+		sim.run(simStep)
+	}
+
+	assert.Assert(t, sim.tenants.running("t").MilliCores > limit/2)
+
+	sim.submit("next", "free", time.Minute, mill.Step{Count: limit / cores, PerTask: mill.Resources{MilliCores: cores}})
+	sim.run(sim.memberLag)
+	assert.Assert(t, sim.tenants.running("t").MilliCores < limit, "the end on the silent worker was not read")
+
+	sim.run(simMaxLease + takeoverMargin + simStopTime)
+	assert.Equal(t, sim.tenants.running("t").MilliCores, int64(limit))
+	assert.Equal(t, len(sim.state.EndingRuns()), 0)
+}
+
 // TestWorkBeyondShareDoesNotStandStill guards against work beyond a tenant's share that is not started for as long as its
 // pool is nearly full, beside room for it twice over.
 func TestWorkBeyondShareDoesNotStandStill(t *testing.T) {
