Show what each tenant uses on the metrics port of the leader

Use, limit, waiting jobs and refused submissions of a tenant were only in 'cranberrymill tenants'. The leader now renews four gauges for each tenant once a second. They are a table (meter.Table) that is replaced as a whole, and no gauges of a tally scope: those stay until the process ends, so that renamed tenants would add up, and they replace all but letters and digits, so that two tenants may share one series.

A leader whose term ends removes them, and deployments without tenants have none. Refusals are counted for all tenants, as the counter by tenant names only the first 64.

--- a/internal/core/call_metrics.go
+++ b/internal/core/call_metrics.go
@@ -16,6 +16,8 @@
 const (
 	// maxNamedTenants bounds the tenants whose submissions are counted by name, since each adds time series.
 	maxNamedTenants = 64
+	// maxCountedTenants bounds the tenants whose refusals are counted for the gauges: far more than a setup has.
+	maxCountedTenants = 4096
 	// otherTenants is the name under which all further tenants are counted.
 	otherTenants = "other"
 	// denialLogInterval bounds the lines about calls without the right key: callers can repeat them at will.
@@ -44,6 +46,8 @@
 
 	mu      sync.Mutex
 	tenants map[string]*tenantCounts
+	// refused counts the refused submissions of each tenant, also of those that have no counter of their own.
+	refused map[string]int64
 }
 
 // The reasons of denied calls.
@@ -57,7 +61,10 @@
 		scope = tally.NoopScope
 	}
 
-	m := &callMetrics{scope: scope, denied: make(map[string]tally.Counter), tenants: make(map[string]*tenantCounts)}
+	m := &callMetrics{
+		scope: scope, denied: make(map[string]tally.Counter), tenants: make(map[string]*tenantCounts),
+		refused: make(map[string]int64),
+	}
 	for _, reason := range []string{reasonUnauthenticated, reasonForbidden} {
 		m.denied[reason] = scope.Tagged(map[string]string{"reason": reason}).Counter("calls_denied")
 	}
@@ -116,9 +123,24 @@
 	} else {
 		counts.Refused++
 		counts.refused.Inc(1)
+		m.countRefusal(tenant)
 	}
 }
 
+func (m *callMetrics) countRefusal(tenant string) {
+	if _, ok := m.refused[tenant]; ok || len(m.refused) < maxCountedTenants {
+		m.refused[tenant]++
+	}
+}
+
+// refusals returns the number of a tenant's refused submissions.
+func (m *callMetrics) refusals(tenant string) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return m.refused[tenant]
+}
+
 // countsOf returns the counts of a tenant, or those of all others once there are too many.
 func (m *callMetrics) countsOf(tenant string) *tenantCounts {
 	if _, ok := m.tenants[tenant]; !ok && len(m.tenants) >= maxNamedTenants {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,6 +21,7 @@
 	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/internal/lead"
 	"github.com/cranberrymill/cranberrymill/internal/mail"
+	"github.com/cranberrymill/cranberrymill/internal/meter"
 	"github.com/cranberrymill/cranberrymill/internal/place"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/internal/raft"
@@ -56,6 +57,8 @@
 	Machines mill.Machines
 	// Scope creates the metrics; nil disables them.
 	Scope tally.Scope
+	// TenantTable shows what the tenants use while this process leads; nil if it is not shown.
+	TenantTable *meter.Table
 }
 
 // maxConcurrentCalls bounds the orders and advisor requests that are in flight.
@@ -399,6 +402,8 @@
 		View:      c.stateMachine.view,
 		WallMilli: c.clocks.medianUnixMilli,
 		Pool:      c.pool,
+
+		ReportTenants: c.reportTenants,
 	})
 
 	for _, known := range c.workers.recent(time.Now()) {
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -50,6 +50,9 @@
 	Pool *ants.Pool
 	// Scope is where metrics are created; nil for none.
 	Scope tally.Scope
+	// ReportTenants is called about once a second with what the tenants use, and with nil when the term has ended; nil for
+	// no reports.
+	ReportTenants func(summaries []TenantSummary)
 }
 
 // Runner runs a scheduler for one term: it passes reports and replies to it, and carries out its
@@ -122,6 +125,8 @@
 
 	go r.guard.run(r.context)
 
+	defer r.reportTenants(nil)
+
 	for r.context.Err() == nil {
 		r.handleUpdates()
 
@@ -368,7 +373,10 @@
 
 	r.summarizedAt = now
 
+	var tenants []TenantSummary
+
 	r.dependencies.View(func(state *jobs.State) {
+		tenants = r.scheduler.TenantSummaries(state)
 		s := r.scheduler.Summary(now, state)
 		r.metrics.setGauges(&s)
 		r.metrics.racks.add(r.scheduler.TakeRackCounts())
@@ -388,9 +396,16 @@
 		}
 	})
 
+	r.reportTenants(tenants)
 	r.plans, r.planTime, r.longestPlan = 0, 0, 0
 }
 
+func (r *Runner) reportTenants(summaries []TenantSummary) {
+	if r.dependencies.ReportTenants != nil {
+		r.dependencies.ReportTenants(summaries)
+	}
+}
+
 func logLongestWait(w *WaitingStep) {
 	if w.Wait == 0 {
 		return
--- a/internal/lead/tenant_limit_test.go
+++ b/internal/lead/tenant_limit_test.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -113,6 +114,41 @@
 	}
 }
 
+// TestTenantsAreReported checks that a leader reports the use of the tenants that the setup names, and none once its term
+// has ended.
+func TestTenantsAreReported(t *testing.T) {
+	state, scheduler := benchmarkPool(4)
+	limitTenant(state, 4000)
+	submitForTenant(state, "running", "free", mill.Step{Count: 3, PerTask: mill.Resources{MilliCores: 1000}})
+	placements(scheduler, state, simStart)
+	submitForTenant(state, "waiting", "free", mill.Step{Count: 1, PerTask: mill.Resources{MilliCores: 2000}})
+
+	reports := make(chan []TenantSummary, 9)
+	ctx, cancel := context.WithCancel(t.Context())
+	runner := NewRunner(ctx, scheduler, Dependencies{
+		Confirm:       func(context.Context) error { return nil },
+		View:          func(read func(state *jobs.State)) { read(state) },
+		Propose:       func([]jobs.Command, func([]jobs.Result, error)) {},
+		WallMilli:     time.Time.UnixMilli,
+		ReportTenants: func(summaries []TenantSummary) { reports <- summaries },
+	})
+
+	go runner.Run()
+
+	assert.DeepEqual(t, <-reports, []TenantSummary{{
+		Name: "t", Running: mill.Resources{MilliCores: 3000}, Limit: mill.Resources{MilliCores: 4000}, WaitingJobs: 2,
+	}})
+	cancel()
+
+	for len(<-reports) > 0 {
+	}
+
+	limitTenant(state, 4000)
+	assert.Equal(t, len(scheduler.TenantSummaries(state)), 1)
+	state.Apply(&jobs.Command{Setup: &mill.Setup{Version: 99}})
+	assert.Equal(t, len(scheduler.TenantSummaries(state)), 0)
+}
+
 // TestNewLeaderCountsInheritedRuns checks that a leader starts nothing beside the runs of an earlier one that reach the
 // limit, though no worker has confirmed them.
 func TestNewLeaderCountsInheritedRuns(t *testing.T) {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -10,18 +10,26 @@
 	"github.com/uber-go/tally/v4/prometheus"
 )
 
-const reportInterval = time.Second
+const (
+	reportInterval = time.Second
+	// prefix begins the names of all metrics.
+	prefix = "mill"
+)
 
 // Meter holds the metrics of one process.
 type Meter struct {
-	scope   tally.Scope
-	closer  io.Closer
-	handler http.Handler
+	scope    tally.Scope
+	closer   io.Closer
+	handler  http.Handler
+	registry *prom.Registry
+	tags     map[string]string
 }
 
 // New returns the metrics of a process, tagged with its role and VM.
 func New(role, vm string) *Meter {
 	registry := prom.NewRegistry()
+	sanitizer := tally.NewSanitizer(prometheus.DefaultSanitizerOpts)
+	tags := map[string]string{"role": sanitizer.Value(role), "vm": sanitizer.Value(vm)}
 	reporter := prometheus.NewReporter(prometheus.Options{
 		Registerer: registry,
 		Gatherer:   registry,
@@ -30,14 +38,14 @@
 		},
 	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:          "mill",
-		Tags:            map[string]string{"role": role, "vm": vm},
+		Prefix:          prefix,
+		Tags:            tags,
 		CachedReporter:  reporter,
 		Separator:       prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, reportInterval)
 
-	return &Meter{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+	return &Meter{scope: scope, closer: closer, handler: reporter.HTTPHandler(), registry: registry, tags: tags}
 }
 
 // Scope returns the scope in which to create metrics.
