Stop the orders of a leader whose disk hangs

While a write to the disk hangs, the consensus handles neither ticks nor messages, so it does not step down, and pauseGuard saw no pause because the rest of the process went on.

The check is made before starts, stops, renewals, paces, maintenance orders, and now also advice requests; orders in the replies to reports use it through MayAct. A new leader sends no maintenance orders for HolderLease and takeoverMargin, since both may act for less than that margin; it does not wait if there was no wave when its term began.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -396,6 +396,7 @@
 		Advise:    c.advise,
 		Propose:   c.propose,
 		Confirm:   c.commitNothing,
+		Contact:   c.host.SinceContact,
 		View:      c.stateMachine.view,
 		WallMilli: c.clocks.medianUnixMilli,
 		Pool:      c.pool,
--- a/internal/core/export_test.go
+++ b/internal/core/export_test.go
@@ -14,6 +14,11 @@
 	return c.leadingRunner() != nil
 }
 
+// WrapStorage replaces the storage of a process that does not run yet.
+func (c *Core) WrapStorage(wrap func(storage mill.Storage) mill.Storage) {
+	c.storage = wrap(c.storage)
+}
+
 // encodeState returns a snapshot with a setup.
 func encodeState(t *testing.T, setup *mill.Setup) []byte {
 	t.Helper()
--- a/internal/drive/driver.go
+++ b/internal/drive/driver.go
@@ -22,6 +22,7 @@
 	send         func(message M)
 	afterBatch   func()
 	onAppend     func(took time.Duration)
+	onTick       func(at time.Time)
 	tick         time.Duration
 	maxBatch     int
 	events       *ring.Ring[func()]
@@ -38,6 +39,9 @@
 	AfterBatch func()
 	// OnAppend runs on the driver's goroutine with the duration of each append to the storage; it may be nil.
 	OnAppend func(took time.Duration)
+	// OnTick runs on the driver's goroutine before each tick, with the time at which the tick was due; it may be nil. All
+	// events that are processed after it were queued later than that.
+	OnTick func(at time.Time)
 	// Tick is the duration of one tick.
 	Tick time.Duration
 	// MaxBatch is the maximum number of events that share one sync; 0 means DefaultMaxBatch.
@@ -52,6 +56,7 @@
 		send:         config.Send,
 		afterBatch:   config.AfterBatch,
 		onAppend:     config.OnAppend,
+		onTick:       config.OnTick,
 		tick:         config.Tick,
 		maxBatch:     config.MaxBatch,
 		events:       ring.New[func()](ringCapacity),
@@ -107,12 +112,20 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			d.events.Offer(d.stateMachine.Tick)
+		case at := <-ticker.C:
+			d.events.Offer(func() { d.handleTick(at) })
 		}
 	}
 }
 
+func (d *Driver[M]) handleTick(at time.Time) {
+	if d.onTick != nil {
+		d.onTick(at)
+	}
+
+	d.stateMachine.Tick()
+}
+
 func (d *Driver[M]) processOutput() error {
 	for {
 		output := d.stateMachine.TakeOutput()
--- a/internal/fakes/disk.go
+++ b/internal/fakes/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -55,3 +56,33 @@
 func (d *Disk) Close() error {
 	return nil
 }
+
+// StallingStorage is a mill.Storage whose writes can be made to hang. It is safe for concurrent use if the storage is.
+type StallingStorage struct {
+	mill.Storage
+
+	writes sync.RWMutex
+}
+
+// Stall waits for the current write, and makes the following ones hang until resume is called.
+func (s *StallingStorage) Stall() (resume func()) {
+	s.writes.Lock()
+
+	return s.writes.Unlock
+}
+
+// Append adds records.
+func (s *StallingStorage) Append(records ...[]byte) error {
+	s.writes.RLock()
+	defer s.writes.RUnlock()
+
+	return s.Storage.Append(records...)
+}
+
+// Compact replaces all content by a snapshot and the records after it.
+func (s *StallingStorage) Compact(snapshot []byte, records ...[]byte) error {
+	s.writes.RLock()
+	defer s.writes.RUnlock()
+
+	return s.Storage.Compact(snapshot, records...)
+}
--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -60,6 +60,7 @@
 	pending  map[uint64]pendingProposal
 	role     atomic.Pointer[Role]
 	slowDisk slowDiskDetector
+	contact  contact
 }
 
 // Open returns a host whose server resumes from the storage.
@@ -79,6 +80,7 @@
 		Send:       func(message raft.Message) { outbox.Send(message.Address, message) },
 		AfterBatch: h.updateRole,
 		OnAppend:   h.onAppend,
+		OnTick:     h.contact.tick,
 		Tick:       TickTime,
 	})
 
@@ -100,6 +102,17 @@
 	return *h.role.Load()
 }
 
+// SinceContact returns how long ago, at most, a majority of the voters answered this process as their leader. It is long
+// if this process does not lead, and 0 if no other process could.
+func (h *Host) SinceContact() time.Duration {
+	role := h.role.Load()
+	if role.Leading && len(role.Members.Servers) == 1 {
+		return 0
+	}
+
+	return h.contact.since()
+}
+
 // Enqueue queues an event to run on the driver's goroutine, or returns mill.ErrFull.
 func (h *Host) Enqueue(event func()) error {
 	return h.driver.Enqueue(event)
@@ -164,7 +177,10 @@
 		Members:         h.node.Membership(),
 	})
 
-	if !h.node.Leading() {
+	if h.node.Leading() {
+		h.contact.answered(h.node.TicksSinceQuorum())
+	} else {
+		h.contact.lost()
 		h.failPending()
 	}
 
--- a/internal/lead/bounds.go
+++ b/internal/lead/bounds.go
@@ -50,6 +50,16 @@
 	return min(providerTimeout, max(b.HolderLease/2, b.HolderLease-maxPause))
 }
 
+// holderWait returns how long a new leader sends no maintenance orders: until HolderLease after the last order of the leader
+// before it, which may have acted for takeoverMargin without knowing that it was replaced.
+func (b *Bounds) holderWait() time.Duration {
+	if b.HolderLease == 0 {
+		return 0
+	}
+
+	return b.HolderLease + takeoverMargin
+}
+
 // statusValidity returns how long after a worker has sent its status a start may be ordered that relies on its capacity:
 // the order must arrive before a capacity that has shrunk since then counts.
 func (b *Bounds) statusValidity() time.Duration {
--- a/internal/lead/maintenance.go
+++ b/internal/lead/maintenance.go
@@ -86,9 +86,10 @@
 
 // planMaintenance adds the actions that the incomplete maintenance waves need now: commands that
 // settle machines, maintenance orders, and a request for the provider's machines. A new leader sends
-// no orders until HolderLease has passed, so that its orders and those of the earlier leader are not
-// taken for two processes that send orders in turn. Nothing is concluded from a list that is out of date:
-// it may lack machines of a new wave, or show machines as up that are down.
+// no orders until holderWait has passed, so that its orders and those of the earlier leader are not
+// taken for two processes that send orders in turn, unless there was no wave for which an earlier leader can have sent
+// any. Nothing is concluded from a list that is out of date: it may lack machines of a new wave, or show machines as up
+// that are down.
 func (s *Scheduler) planMaintenance(actions *Actions, now time.Time, state *jobs.State) {
 	waves := state.IncompleteWaves()
 	s.noticeWaves(waves, now)
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -41,6 +41,9 @@
 	Propose func(commands []jobs.Command, done func(results []jobs.Result, err error))
 	// Confirm returns nil once it is shown that no other leader had been elected when it was called.
 	Confirm func(ctx context.Context) error
+	// Contact returns how long ago, at most, a majority of the core processes answered this one as their leader; nil if it
+	// cannot be replaced.
+	Contact func() time.Duration
 	// View calls a function with the replicated state, which must not change meanwhile.
 	View func(read func(state *jobs.State))
 	// WallMilli returns the wall-clock time in milliseconds since 1970, which is the median of
@@ -77,7 +80,7 @@
 		scheduler:    scheduler,
 		dependencies: dependencies,
 		updates:      ring.New[func(now time.Time)](updateCapacity),
-		guard:        newPauseGuard(dependencies.Confirm),
+		guard:        newPauseGuard(dependencies.Confirm, dependencies.Contact),
 		context:      ctx,
 		metrics:      newMetrics(dependencies.Scope),
 	}
@@ -89,7 +92,8 @@
 	return r.saturation.Load().lastsFor(service, time.Now())
 }
 
-// MayAct reports whether this process has shown that it leads since it last stood still.
+// MayAct reports whether this process has shown that it leads since it last stood still, and was in contact with a majority
+// a short time ago.
 func (r *Runner) MayAct() bool {
 	return r.guard.mayAct()
 }
@@ -320,6 +324,10 @@
 
 	defer func() { r.post(func(now time.Time) { r.scheduler.AdviceAnswered(request, advice, now) }) }()
 
+	if !r.guard.mayAct() {
+		return
+	}
+
 	reply, err := r.dependencies.Advise(ctx, request)
 	if err != nil {
 		log.Warn().Err(err).Str("step", request.Step.String()).Str("caller", request.Address).Msg("request for advice failed")
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -109,26 +109,28 @@
 // the runs that are placed in the state.
 func New(bounds Bounds, term uint64, now time.Time, state *jobs.State, placer mill.Placer) *Scheduler {
 	s := &Scheduler{
-		bounds:           bounds,
-		fenceBase:        term << restartBits,
-		termStart:        now,
-		placer:           placer,
-		workers:          make(map[string]*worker),
-		runs:             make(map[mill.TaskID]*run),
-		tenants:          make(map[string]*tenantUse),
-		setupIndex:       state.SetupIndex(),
-		ordersDue:        make(map[*run]struct{}),
-		advice:           make(map[mill.StepID]*advice),
-		advisorAddresses: make(map[string]*advisorAddress),
-		orphans:          make(map[mill.RunRef]orphan),
-		maintenance:      make(map[string]*maintenance),
-		plannedWaves:     make(map[int]bool),
-		// Until then the earlier leader may send maintenance orders.
-		machinesChangedAt: now.Add(bounds.HolderLease),
-
+		bounds:              bounds,
+		fenceBase:           term << restartBits,
+		termStart:           now,
+		placer:              placer,
+		workers:             make(map[string]*worker),
+		runs:                make(map[mill.TaskID]*run),
+		tenants:             make(map[string]*tenantUse),
+		setupIndex:          state.SetupIndex(),
+		ordersDue:           make(map[*run]struct{}),
+		advice:              make(map[mill.StepID]*advice),
+		advisorAddresses:    make(map[string]*advisorAddress),
+		orphans:             make(map[mill.RunRef]orphan),
+		maintenance:         make(map[string]*maintenance),
+		plannedWaves:        make(map[int]bool),
 		waitingSinceFailure: make(map[mill.TaskID]time.Time),
 	}
 
+	if len(state.Waves()) > 0 {
+		// Earlier leaders may have sent maintenance orders until shortly after the start of this term.
+		s.machinesChangedAt = now.Add(bounds.holderWait())
+	}
+
 	s.loadWorkerRecords(state)
 	s.loadLearned(state.Learned())
 
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -61,16 +61,25 @@
 
 // quorumActive reports whether a majority of voters has answered within an election timeout.
 func (n *Node) quorumActive() bool {
-	active := 0
+	return n.TicksSinceQuorum() <= electionTicks
+}
+
+// TicksSinceQuorum returns within how many ticks a majority of the voters has answered this leader. Its own vote counts as
+// an answer, as do those with which it was elected.
+func (n *Node) TicksSinceQuorum() int {
+	ticks := make([]int, 0, len(n.log.membership.Servers))
 
 	for _, server := range n.log.membership.Servers {
-		p := n.progress.find(server.Identity)
-		if p == nil || p.ticksSinceReply <= electionTicks {
-			active++
+		if p := n.progress.find(server.Identity); p != nil {
+			ticks = append(ticks, p.ticksSinceReply)
+		} else {
+			ticks = append(ticks, 0)
 		}
 	}
 
-	return active >= n.log.membership.Quorum()
+	slices.Sort(ticks)
+
+	return ticks[n.log.membership.Quorum()-1]
 }
 
 // advanceCommit commits the entries that a majority has stored, once they include one of this term.
