Take nothing for a worker's next incarnation from late answers

An answer to a renewal by an incarnation of a worker other than the known one was taken for that of a newer one.

- Orders carry the epoch of the worker's incarnations in which they were created.
Only an answer to an order that was created after the known incarnation was learned of shows a newer one, whatever its start time.
From others only ends as done are read, and the worker is asked again without an acknowledgement.
The same holds for answers to start, stop and pace orders, which set the clock by which leases expire, or declared the next incarnation gone.
- A report with an earlier start time has the worker asked: its wall clock may have been set back.
Before, it was ignored until the worker was forgotten.
- The time within which ends are acknowledged counts from when the list was sent, not from when it arrived.
- The reply to the first report of an incarnation acknowledges nothing (internal/mail).

--- a/internal/lead/actions.go
+++ b/internal/lead/actions.go
@@ -25,6 +25,8 @@
 type Start struct {
 	To    mill.WorkerRef
 	Order mill.StartOrder
+	// epoch is that of the worker's incarnations.
+	epoch uint64
 }
 
 // Stop is an order to stop a run.
@@ -32,18 +34,24 @@
 	To           mill.WorkerRef
 	Run          mill.RunRef
 	FencingToken uint64
+	// epoch is that of the worker's incarnations.
+	epoch uint64
 }
 
 // Renew is an order to extend a worker's leases and to send a report.
 type Renew struct {
 	To    mill.WorkerRef
 	Order mill.RenewOrder
+	// epoch is that of the worker's incarnations.
+	epoch uint64
 }
 
 // Pace is an order to throttle a run or to lift its throttling.
 type Pace struct {
 	To    mill.WorkerRef
 	Order mill.PaceOrder
+	// epoch is that of the worker's incarnations.
+	epoch uint64
 }
 
 // Maintenance is an order to begin a machine's maintenance.
--- a/internal/lead/executor_test.go
+++ b/internal/lead/executor_test.go
@@ -59,8 +59,10 @@
 	lives     int
 	crashedAt time.Time
 	startedAt time.Time
-	drift     float64
-	capacity  mill.Resources
+	// clockSetBack is by how much the wall clock was set back.
+	clockSetBack time.Duration
+	drift        float64
+	capacity     mill.Resources
 	// pastCapacities holds the capacities that the executor had before, the oldest first.
 	pastCapacities []pastCapacity
 	rack           string
@@ -102,6 +104,11 @@
 // restart begins a new incarnation under the same id.
 func (e *executor) restart() {
 	e.startedAt = e.sim.now
+
+	if e.sim.chance("clock set back", e.sim.faults.clockSetBack) {
+		e.clockSetBack += 10 * time.Second
+	}
+
 	e.fence, e.leaseEndMilli, e.finishNumber, e.sequence = 0, 0, 0, 0
 	e.running = make(map[mill.TaskID]*execution)
 	e.lastFinishedRun = make(map[mill.TaskID]int)
@@ -110,6 +117,10 @@
 	e.disturbedAt = e.sim.now
 }
 
+func (e *executor) startUnixMilli() int64 {
+	return e.startedAt.Add(-e.clockSetBack).UnixMilli()
+}
+
 // reachable reports whether orders reach the worker.
 func (e *executor) reachable() bool {
 	return e.up && !e.disconnected && !e.mute
@@ -172,7 +183,7 @@
 
 	return &mill.WorkerStatus{
 		ID:             e.id,
-		StartUnixMilli: e.startedAt.UnixMilli(),
+		StartUnixMilli: e.startUnixMilli(),
 		Service:        e.pool,
 		Address:        e.address,
 		Rack:           e.rack,
@@ -360,7 +371,7 @@
 		e.finished = e.finished[1:]
 	}
 
-	reply := mill.RenewReply{OrderReply: e.reply(mill.OutcomeAccepted), StartUnixMilli: e.startedAt.UnixMilli()}
+	reply := mill.RenewReply{OrderReply: e.reply(mill.OutcomeAccepted), StartUnixMilli: e.startUnixMilli()}
 	reply.Finished = append(reply.Finished, e.finished...)
 
 	for _, a := range e.executions() {
--- a/internal/lead/fuzz_test.go
+++ b/internal/lead/fuzz_test.go
@@ -199,6 +199,9 @@
 		late:       rapid.SampledFrom([]int{0, 0, 10, 30}).Draw(t, "late"),
 		lostReport: rapid.SampledFrom([]int{0, 0, 40, 100}).Draw(t, "lostReport"),
 		lateReport: rapid.SampledFrom([]int{0, 0, 40, 100}).Draw(t, "lateReport"),
+		slowAnswer: rapid.SampledFrom([]int{0, 0, 10, 40}).Draw(t, "slowAnswer"),
+
+		clockSetBack: rapid.SampledFrom([]int{0, 0, 50}).Draw(t, "clockSetBack"),
 	}
 }
 
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -176,7 +176,8 @@
 	}
 
 	_, task := job.Task(row.Task)
-	if task != nil && task.Phase == 1 && task.Run == row.Run && row.Cause != mill.FinishDone {
+	member := sim.specs[row.Task.Job].work.Steps[row.Task.Step].Gang
+	if task != nil && task.Phase == 1 && task.Run == row.Run && (row.Cause != mill.FinishDone || !member) {
 		sim.t.Fatalf("%s: finished %s run %d is acknowledged but not committed", sim.elapsed(), row.Task, row.Run)
 	}
 
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -120,7 +120,8 @@
 	r.startAttempts++
 
 	actions.Starts = append(actions.Starts, Start{
-		To: r.worker.ref(),
+		To:    r.worker.ref(),
+		epoch: r.worker.incarnations.epoch,
 		Order: mill.StartOrder{
 			Task:             r.task,
 			Run:              r.number,
@@ -140,7 +141,11 @@
 
 	r.nextStop = now.Add(s.bounds.orderTimeout())
 
-	actions.Stops = append(actions.Stops, Stop{To: r.worker.ref(), Run: r.ref(), FencingToken: s.fencingToken(r.worker)})
+	actions.Stops = append(actions.Stops, s.stopOrder(r.worker, r.ref()))
+}
+
+func (s *Scheduler) stopOrder(w *worker, run mill.RunRef) Stop {
+	return Stop{To: w.ref(), Run: run, FencingToken: s.fencingToken(w), epoch: w.incarnations.epoch}
 }
 
 func (s *Scheduler) addOrphanStops(actions *Actions, now time.Time) {
@@ -157,7 +162,7 @@
 
 		o.nextStop = now.Add(s.bounds.orderTimeout())
 		s.orphans[ref] = o
-		actions.Stops = append(actions.Stops, Stop{To: o.worker.ref(), Run: ref, FencingToken: s.fencingToken(o.worker)})
+		actions.Stops = append(actions.Stops, s.stopOrder(o.worker, ref))
 	}
 }
 
@@ -173,16 +178,16 @@
 
 	w.renewing = true
 
-	actions.Renews = append(actions.Renews, Renew{To: w.ref(), Order: s.renewOrder(w, holding, confirmed, now)})
+	actions.Renews = append(actions.Renews, Renew{
+		To: w.ref(), Order: s.renewOrder(w, holding, confirmed, now), epoch: w.incarnations.epoch,
+	})
 }
 
 // renewOrder returns the renewal order for a worker, given the results of its holding method.
 func (s *Scheduler) renewOrder(w *worker, holding, confirmed bool, now time.Time) mill.RenewOrder {
 	order := mill.RenewOrder{FencingToken: s.fencingToken(w)}
 
-	// After a longer pause the worker may have restarted under the same id, and its new incarnation
-	// numbers its finished runs from the start again.
-	if now.Sub(w.lastRenewal) < minRestartTime {
+	if w.mayAcknowledge(now) {
 		order.Acknowledged = w.committedThrough
 	}
 
@@ -192,19 +197,37 @@
 		order.LeaseExpiryMilli = w.extendLease(now, s.bounds.Lease())
 	}
 
-	if holding && confirmed && w.contacted && w.failedRenewals == 0 {
-		order.Wait = min(maxReportWait, s.bounds.Lease()/3)
+	if holding && confirmed {
+		order.Wait = s.reportWait(w)
+	}
+
+	return order
+}
+
+// reportWait returns how long a worker whose runs are all confirmed may wait for a change before it reports.
+func (s *Scheduler) reportWait(w *worker) time.Duration {
+	if !w.contacted || w.failedRenewals > 0 || w.incarnations.unclear() {
+		return 0
 	}
 
+	wait := min(maxReportWait, s.bounds.Lease()/3)
+
 	if w.isolatingRuns > 0 {
-		order.Wait = min(order.Wait, crashTime)
+		wait = min(wait, crashTime)
 	}
 
 	if w.mixesBestEffort() {
-		order.Wait = min(order.Wait, sharedReportWait)
+		wait = min(wait, sharedReportWait)
 	}
 
-	return order
+	return wait
+}
+
+// mayAcknowledge reports whether the incarnation that gets an order now is certainly the one whose list was read last.
+// After a longer pause the worker may have restarted under the same id, and its new incarnation numbers its finished runs
+// from the start again.
+func (w *worker) mayAcknowledge(now time.Time) bool {
+	return !w.incarnations.unclear() && now.Sub(w.lastRenewal) < minRestartTime
 }
 
 // canRenew reports whether the worker can be sent a renewal, which also asks for a report. It is
@@ -248,14 +271,14 @@
 const acknowledgeDelay = 300 * time.Millisecond
 
 // callDue reports whether the worker has to be called though it has no runs: to acknowledge finished
-// runs, to give a restarted worker a fencing token, to find out whether runs that the state does not know
-// have ended, or, within a second after it was last heard, to retry a failed renewal.
+// runs, to give a restarted worker a fencing token, to find out which of its incarnations runs or whether runs that the
+// state does not know have ended, or, within a second after it was last heard, to retry a failed renewal.
 func (w *worker) callDue(now time.Time) bool {
 	if w.failedRenewals > 0 {
 		return now.Sub(w.lastHeard) < time.Second
 	}
 
-	if w.unfenced || w.hasUnknownRuns {
+	if w.unfenced || w.hasUnknownRuns || w.incarnations.unclear() {
 		return true
 	}
 
--- a/internal/lead/pace.go
+++ b/internal/lead/pace.go
@@ -56,7 +56,7 @@
 		}
 
 		r.paceSentAt = now
-		actions.Paces = append(actions.Paces, Pace{To: w.ref(), Order: mill.PaceOrder{
+		actions.Paces = append(actions.Paces, Pace{To: w.ref(), epoch: w.incarnations.epoch, Order: mill.PaceOrder{
 			RunRef: r.ref(), FencingToken: s.fencingToken(w), Percent: next,
 		}})
 	}
@@ -75,7 +75,7 @@
 		return
 	}
 
-	if reply.Outcome != mill.OutcomeAccepted {
+	if reply.Outcome != mill.OutcomeAccepted || r.worker.incarnations.mayBeEarlier(pace.epoch) {
 		return
 	}
 
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -17,6 +17,13 @@
 	}
 
 	r.startInFlight = false
+
+	if r.worker.incarnations.mayBeEarlier(start.epoch) {
+		s.earlierStartAnswered(r, reply.Outcome, now)
+
+		return
+	}
+
 	r.worker.clock.observe(reply.ClockMilli, now)
 	s.addEvent(EventStart, r, reply.Outcome.String())
 
@@ -140,6 +147,8 @@
 	s.addEvent(EventStop, r, reply.Outcome.String())
 
 	switch {
+	case r.worker.incarnations.mayBeEarlier(stop.epoch):
+		r.nextStop = now
 	case reply.Outcome == mill.OutcomeWorkerReplaced:
 		s.workerReplaced(r.worker)
 	case reply.Outcome.Stopped():
@@ -170,6 +179,9 @@
 	}
 
 	switch {
+	case o.worker.incarnations.mayBeEarlier(stop.epoch):
+		o.nextStop = now
+		s.orphans[stop.Run] = o
 	case outcome == mill.OutcomeWorkerReplaced, outcome.Stopped():
 		delete(s.orphans, stop.Run)
 	case outcome.Transient():
@@ -191,6 +203,12 @@
 
 	w.renewing = false
 
+	if w.incarnations.mayBeEarlier(renew.epoch) {
+		s.earlierListArrived(w, reply, now)
+
+		return
+	}
+
 	switch reply.Outcome {
 	case mill.OutcomeAccepted:
 	case mill.OutcomeWorkerReplaced:
@@ -217,18 +235,11 @@
 	w.mayHoldInherited = false
 	w.failedRenewals = 0
 	w.lastHeard = now
-	w.lastRenewal = now
 	w.nextRenewal = now.Add(minRenewInterval)
 	w.acknowledgedThrough = max(w.acknowledgedThrough, renew.Order.Acknowledged)
 
-	if reply.StartUnixMilli != 0 && w.status.StartUnixMilli != 0 && reply.StartUnixMilli != w.status.StartUnixMilli {
-		s.workerRestarted(w, reply.ClockMilli, now)
-		w.status.StartUnixMilli = reply.StartUnixMilli
-		w.statusSentAt = time.Time{}
-		w.status.Sequence = 0 // The new incarnation numbers its reports from the start again.
-		w.recordCurrent = false
-	}
-
+	s.identifyIncarnation(w, renew, reply, now)
+	w.lastRenewal = w.answeredAt(reply.ClockMilli, sentAt, now)
 	w.clock.observe(reply.ClockMilli, now)
 	s.readFinished(w, reply.Finished)
 
@@ -243,6 +254,22 @@
 	}
 }
 
+// identifyIncarnation records which incarnation of a worker has answered a renewal that was created after the known one was
+// learned of. Another one is newer, whatever its start time.
+func (s *Scheduler) identifyIncarnation(w *worker, renew *Renew, reply *mill.RenewReply, now time.Time) {
+	if reply.StartUnixMilli == 0 || w.status.StartUnixMilli == 0 || reply.StartUnixMilli == w.status.StartUnixMilli {
+		w.incarnations.confirm(renew.epoch)
+
+		return
+	}
+
+	s.workerRestarted(w, reply.ClockMilli, now)
+	w.status.StartUnixMilli = reply.StartUnixMilli
+	w.statusSentAt = time.Time{}
+	w.status.Sequence = 0 // The new incarnation numbers its reports from the start again.
+	w.recordCurrent = false
+}
+
 // assumeInheritedLease assumes the longest possible lease of an earlier leader for a worker that may hold runs of it and
 // answers a renewal that granted none.
 func (s *Scheduler) assumeInheritedLease(w *worker, renew *Renew, reply *mill.RenewReply, now time.Time) {
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -210,11 +210,16 @@
 }
 
 // Report records a worker's status that was received at the given time. A status that is older than
-// the last one is ignored.
+// the last one is ignored. If it is that of another incarnation, the worker is asked which one runs: its wall clock may have
+// been set back.
 func (s *Scheduler) Report(status *mill.WorkerStatus, at time.Time) {
 	w := s.worker(status.ID)
 
 	if !w.lastHeard.IsZero() && !status.NewerThan(&w.status) {
+		if status.StartUnixMilli != w.status.StartUnixMilli {
+			w.incarnations.question()
+		}
+
 		return
 	}
 
@@ -252,6 +257,10 @@
 	if w.lastHeard.IsZero() {
 		w.unfenced = w.recorded != nil
 
+		if w.recorded != nil {
+			w.incarnations.learn()
+		}
+
 		return
 	}
 
@@ -264,6 +273,7 @@
 func (s *Scheduler) workerRestarted(w *worker, clockMilli int64, now time.Time) {
 	s.recordCrash(w)
 
+	w.incarnations.learn()
 	w.leaving = false // It was the earlier incarnation that left.
 	w.restarts++
 	w.clock = clock{}
--- a/internal/lead/scripted_test.go
+++ b/internal/lead/scripted_test.go
@@ -32,6 +32,9 @@
 	// commitErrors is how many of the next proposals with the end of a run fail.
 	commitErrors int
 	events       []Event
+	// renews holds the renewals that were sent. Workers do not report while unreported is set.
+	renews     []Renew
+	unreported bool
 }
 
 // newScriptedTest returns a test with workers whose racks are the first letters of their ids.
@@ -83,11 +86,9 @@
 // plan has all workers report, plans once, commits what is to be committed, and carries out the start orders.
 func (s *scriptedTest) plan() {
 	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
-		w := s.workers[id]
-		w.status.Sequence++
-		w.status.ClockMilli = s.clockMilli()
-		status := w.status
-		s.scheduler.Report(&status, s.now)
+		if !s.unreported {
+			s.report(id)
+		}
 	}
 
 	actions := s.scheduler.Next(s.now, s.now.UnixMilli(), s.state)
@@ -100,9 +101,19 @@
 		s.start(&start)
 	}
 
+	s.renews = append(s.renews, append(actions.Renews, orders.Renews...)...)
 	s.events = append(s.events, s.scheduler.TakeEvents()...)
 }
 
+// report has a worker report its status.
+func (s *scriptedTest) report(worker string) {
+	w := s.workers[worker]
+	w.status.Sequence++
+	w.status.ClockMilli = s.clockMilli()
+	status := w.status
+	s.scheduler.Report(&status, s.now)
+}
+
 func (s *scriptedTest) commit(commands []jobs.Command) {
 	ends := slices.ContainsFunc(commands, func(c jobs.Command) bool { return c.Finish != nil })
 	if ends && s.commitErrors > 0 {
@@ -219,14 +230,19 @@
 
 // answer has a worker answer a renewal.
 func (s *scriptedTest) answer(worker string) {
+	s.scheduler.RenewAnswered(&Renew{To: mill.WorkerRef{ID: worker, Address: worker}}, s.list(worker), s.now, s.now)
+}
+
+// list returns a worker's answer to a renewal.
+func (s *scriptedTest) list(worker string) *mill.RenewReply {
 	w := s.workers[worker]
-	reply := &mill.RenewReply{
+
+	return &mill.RenewReply{
 		OrderReply:     mill.OrderReply{Outcome: mill.OutcomeAccepted, ClockMilli: s.clockMilli()},
 		StartUnixMilli: w.status.StartUnixMilli,
 		Finished:       w.finished,
 		Running:        slices.Collect(maps.Values(w.running)),
 	}
-	s.scheduler.RenewAnswered(&Renew{To: mill.WorkerRef{ID: worker, Address: worker}}, reply, s.now, s.now)
 }
 
 // worker returns the scheduler's view of a worker.
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -72,6 +72,10 @@
 	lateReport int
 	// repeatedList is the probability that a list of runs arrives once more, later.
 	repeatedList int
+	// slowAnswer is the probability that an answer is long on its way, and outlives its sender.
+	slowAnswer int
+	// clockSetBack is the probability that an executor restarts with an earlier wall clock.
+	clockSetBack int
 }
 
 // simulation is a pool of executors with a replicated log and its leader, in simulated time. It
--- a/internal/lead/transport_test.go
+++ b/internal/lead/transport_test.go
@@ -12,7 +12,7 @@
 // deliver delivers an order to an executor and its reply to the leader, subject to the simulated
 // faults.
 func (sim *simulation) deliver(
-	to mill.WorkerRef, carryOut func(e *executor, late bool), answer func(outcome mill.OrderOutcome),
+	to mill.WorkerRef, timeout time.Duration, carryOut func(e *executor, late bool), answer func(outcome mill.OrderOutcome),
 ) {
 	e := sim.findAt(to.Address)
 	incarnation := e.startedAt
@@ -57,6 +57,13 @@
 			}
 
 			carryOut(e, false)
+
+			if sim.chance("slow answer", sim.faults.slowAnswer) {
+				sim.after(sim.within("slow answer", timeout-2*delay), func() { answer(mill.OutcomeAccepted) })
+
+				return
+			}
+
 			sim.after(delay, func() {
 				// A reply on its way arrives though its sender has crashed, unless the test says otherwise.
 				if e.disconnected || e.mute || sim.crashesUnanswered && !e.up {
@@ -80,7 +87,7 @@
 
 	carryOut := func(e *executor, late bool) { reply = e.start(&start.Order, late) }
 
-	sim.deliver(start.To, carryOut, func(outcome mill.OrderOutcome) {
+	sim.deliver(start.To, defaultOrderTimeout, carryOut, func(outcome mill.OrderOutcome) {
 		if outcome != mill.OutcomeAccepted {
 			reply = mill.OrderReply{Outcome: outcome}
 		}
@@ -94,7 +101,7 @@
 
 	carryOut := func(e *executor, _ bool) { reply = e.stop(stop.Run, stop.FencingToken) }
 
-	sim.deliver(stop.To, carryOut, func(outcome mill.OrderOutcome) {
+	sim.deliver(stop.To, defaultOrderTimeout, carryOut, func(outcome mill.OrderOutcome) {
 		if outcome != mill.OutcomeAccepted {
 			reply = mill.OrderReply{Outcome: outcome}
 		}
@@ -106,7 +113,9 @@
 func (sim *simulation) sendPace(l *leader, pace *Pace) {
 	var reply mill.OrderReply
 
-	sim.deliver(pace.To, func(e *executor, _ bool) { reply = e.pace(&pace.Order) }, func(outcome mill.OrderOutcome) {
+	carryOut := func(e *executor, _ bool) { reply = e.pace(&pace.Order) }
+
+	sim.deliver(pace.To, defaultOrderTimeout, carryOut, func(outcome mill.OrderOutcome) {
 		if outcome != mill.OutcomeAccepted {
 			reply = mill.OrderReply{Outcome: outcome}
 		}
@@ -120,7 +129,9 @@
 
 	sentAt := sim.now
 
-	sim.deliver(renew.To, func(e *executor, _ bool) { reply = e.renew(&renew.Order) }, func(outcome mill.OrderOutcome) {
+	carryOut := func(e *executor, _ bool) { reply = e.renew(&renew.Order) }
+
+	sim.deliver(renew.To, renew.Order.Wait+replySlack, carryOut, func(outcome mill.OrderOutcome) {
 		if outcome != mill.OutcomeAccepted {
 			reply = mill.RenewReply{OrderReply: mill.OrderReply{Outcome: outcome}}
 		}
@@ -143,7 +154,7 @@
 	e := sim.findAt(renew.To.Address)
 
 	sim.after(sim.within("repeated list", simDistantEnds), func() {
-		if e.up && e.startedAt.UnixMilli() == reply.StartUnixMilli {
+		if e.up && e.startUnixMilli() == reply.StartUnixMilli {
 			sim.answerRenew(l, renew, &reply, sentAt)
 		}
 	})
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -28,8 +28,9 @@
 	// statusSentAt is when the worker has sent its status, at the earliest. It is zero while the status is that of
 	// an earlier incarnation, or known only from the state.
 	statusSentAt time.Time
-	// lastRenewal is when the worker last answered a renewal.
-	lastRenewal time.Time
+	// lastRenewal is when the worker has sent its last answer to a renewal, which may have been a while on its way.
+	lastRenewal  time.Time
+	incarnations incarnations
 	// leaving says that the worker has announced that it is shutting down, and has not reported since. It may run on for
 	// some seconds, above all if it gets no answer to that.
 	leaving bool
--- a/internal/mail/order_queue.go
+++ b/internal/mail/order_queue.go
@@ -201,6 +201,11 @@
 
 	w.renews = nil
 
+	// The ends to acknowledge are those of the list before, which another incarnation has sent.
+	if report.Status.StartUnixMilli != w.latest.StartUnixMilli {
+		batch.Acknowledged = 0
+	}
+
 	for _, pending := range w.starts {
 		pending.sent = true
 		batch.FencingToken = max(batch.FencingToken, pending.order.FencingToken)
--- a/internal/mail/order_queue_test.go
+++ b/internal/mail/order_queue_test.go
@@ -165,3 +165,20 @@
 	assert.ErrorIs(t, err, mill.ErrInvalid)
 	assert.Equal(t, worker.pendingCount(), 1)
 }
+
+// TestNextIncarnationIsAcknowledgedNothing guards against an acknowledgement that goes to a worker which has restarted since
+// the list that it is for, and has numbered its ends anew.
+func TestNextIncarnationIsAcknowledgedNothing(t *testing.T) {
+	for incarnation, want := range map[int64]uint64{1: 3, 2: 0} {
+		f := newFakeWorker(t)
+		f.incarnation = 1
+		f.report(0, mill.WorkerReport{})
+
+		issue(f, func(ctx context.Context) mill.RenewReply {
+			return f.queue.Renew(ctx, workerRef, &mill.RenewOrder{Acknowledged: 3})
+		})
+
+		f.incarnation = incarnation
+		assert.Equal(t, f.report(time.Second, mill.WorkerReport{}).Acknowledged, want)
+	}
+}
