Read the ends of a worker before the maintenance of its machine is ordered

The order ends the worker at once. The order now waits until the ends are committed and a worker with runs has answered since the drain began and within 0.3 s, for at most 1 s. Workers of machines that are drained or come next report within 0.2 s instead of 1.2 s, so that waves do not wait for their reports.

TestEndsAreReadBeforeMaintenance failed before ("starts after it was done, 5.1s before the lease ends") and passes.

--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -46,6 +46,10 @@
 		sim.t.Fatalf("%s: task %s starts on %s though its job was canceled", sim.elapsed(), order.Task, e.id)
 	}
 
+	if sim.provider != nil {
+		sim.provider.checkStart(order.Task)
+	}
+
 	sim.attempts.checkStart(mill.RunRef{Task: order.Task, Run: order.Run})
 	sim.checkCrashes(order.Task)
 	sim.checkEarlierSteps(order, job)
--- a/internal/lead/maintenance.go
+++ b/internal/lead/maintenance.go
@@ -17,6 +17,14 @@
 	listInterval = 200 * time.Millisecond
 	// maintenanceRetryDelay is the pause before a maintenance order is sent again.
 	maintenanceRetryDelay = 500 * time.Millisecond
+	// drainReportWait is how long a worker may delay its report while its machine is drained or comes next: the order for the
+	// machine waits for the report.
+	drainReportWait = 200 * time.Millisecond
+	// maxReportAge is how old the report may be when the order is sent: drainReportWait and a round trip between regions.
+	maxReportAge = 300 * time.Millisecond
+	// maxEndsWait is how long an order waits for the ends of the runs. A worker whose last report was asked for before the
+	// wave began answers in maxReportWait at the latest, 200 ms of which have passed when the order is due.
+	maxEndsWait = time.Second
 )
 
 // maintenance is one machine of a wave that is being drained or is down.
@@ -27,7 +35,9 @@
 	// drainingSince is since when the machine gets no new work.
 	drainingSince time.Time
 	// ordered says that an order was sent, so that the machine may be down.
-	ordered   bool
+	ordered bool
+	// dueSince is since when nothing but the ends of runs holds the order back.
+	dueSince  time.Time
 	inFlight  bool
 	nextOrder time.Time
 	// startedAt is when the provider confirmed that the maintenance has begun or is done.
@@ -93,6 +103,7 @@
 func (s *Scheduler) planMaintenance(actions *Actions, now time.Time, state *jobs.State) {
 	waves := state.IncompleteWaves()
 	s.noticeWaves(waves, now)
+	clear(s.promptWorkers)
 
 	if len(waves) == 0 {
 		clear(s.maintenance)
@@ -204,9 +215,16 @@
 // drainNext starts draining a wave's next machines, as far as the budget of every wave that
 // contains them allows it.
 func (s *Scheduler) drainNext(wave *jobs.Wave, budgets []*waveBudget, now time.Time) {
+	next := 0
+
 	for _, id := range s.machinesToDrain(wave) {
 		affected := slices.DeleteFunc(slices.Clone(budgets), func(b *waveBudget) bool { return !b.wave.Has(id) })
 		if slices.ContainsFunc(affected, func(b *waveBudget) bool { return b.remaining <= 0 }) {
+			if next < wave.Spec.MaxAtOnce {
+				s.promptWorkers[s.machines[id].Worker] = true
+				next++
+			}
+
 			continue
 		}
 
@@ -268,16 +286,7 @@
 		return
 	}
 
-	// Since it is drained, no work goes to the worker that the list names, but some may have gone to the one before.
-	if !m.ordered && !s.machinesListedAt.After(m.drainingSince) {
-		return
-	}
-
-	w, known := s.workers[m.worker]
-	busy := known && len(w.runs) > 0
-	drain := plan.DrainTime(wave.Spec.Duration, len(wave.Spec.Machines), wave.Spec.MaxAtOnce, s.bounds.MaintenanceTime)
-
-	if busy && !m.ordered && (now.Sub(m.drainingSince) < drain || !s.mayInterrupt(w, state)) {
+	if !m.ordered && !s.drained(wave, m, now, state) {
 		return
 	}
 
@@ -289,6 +298,46 @@
 	})
 }
 
+// drained reports whether a machine's tasks have had time to finish, may be interrupted, and have no ends that are not read.
+func (s *Scheduler) drained(wave *jobs.Wave, m *maintenance, now time.Time, state *jobs.State) bool {
+	// Since it is drained, no work goes to the worker that the list names, but some may have gone to the one before.
+	if !s.machinesListedAt.After(m.drainingSince) {
+		return false
+	}
+
+	w, known := s.workers[m.worker]
+	if !known {
+		return true
+	}
+
+	drain := plan.DrainTime(wave.Spec.Duration, len(wave.Spec.Machines), wave.Spec.MaxAtOnce, s.bounds.MaintenanceTime)
+	if len(w.runs) > 0 && (now.Sub(m.drainingSince) < drain || !s.mayInterrupt(w, state)) {
+		m.dueSince = time.Time{}
+
+		return false
+	}
+
+	return m.endsRead(w, now)
+}
+
+// endsRead reports whether the ends on a worker are committed, and it has reported since its machine is drained and a short
+// time ago if it has runs: the order ends the worker, and what it has not reported is lost. It does not wait for long.
+func (m *maintenance) endsRead(w *worker, now time.Time) bool {
+	if m.dueSince.IsZero() {
+		m.dueSince = now
+	}
+
+	if now.Sub(m.dueSince) >= maxEndsWait || w.failedRenewals > 0 && now.Sub(w.lastHeard) >= reportTimeout {
+		return true
+	}
+
+	if w.uncommittedFinishes > 0 {
+		return false
+	}
+
+	return len(w.runs) == 0 || w.lastRenewal.After(m.drainingSince) && now.Sub(w.lastRenewal) <= maxReportAge
+}
+
 // mayInterrupt reports whether every run on a worker may be interrupted by maintenance.
 func (s *Scheduler) mayInterrupt(w *worker, state *jobs.State) bool {
 	interrupted := make(map[mill.StepID]int)
--- /dev/null
+++ b/internal/lead/maintenance_ends_test.go
@@ -0,0 +1,79 @@
+package lead
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
+	"github.com/cranberrymill/cranberrymill/pkg/mill"
+)
+
+// maintainSilentWorker has a task end on a worker that does not answer, begins a wave that orders the maintenance of its
+// machine, and lets the worker answer again after a while. It returns the simulation at the end of the job.
+func maintainSilentWorker(t *testing.T, silent time.Duration) *simulation {
+	t.Helper()
+
+	const duration = 2 * time.Second
+
+	sim := newSimulation(t, nil, 4)
+	sim.provider = newProvider(sim)
+	sim.submit("job", "free", duration, mill.Step{Count: 1, PerTask: mill.Resources{MilliCores: 1000, MemoryMiB: 100}})
+
+	var busy *executor
+
+	for busy == nil {
+		sim.step()
+
+		for _, e := range sim.executors {
+			if len(e.running) > 0 {
+				busy = e
+			}
+		}
+	}
+
+	sim.run(duration - 100*time.Millisecond)
+
+	busy.mute = true
+
+	sim.run(200 * time.Millisecond)
+	assert.Equal(t, len(busy.running), 0)
+
+	sim.after(silent, func() { busy.mute = false })
+
+	// The first wave leaves no time for draining. The second one goes on after it.
+	waves := []*mill.Wave{
+		{Number: 1, Machines: []string{"m-" + busy.id}, Duration: 3 * time.Second, MaxAtOnce: 1},
+		{Number: 2, Duration: time.Minute, MaxAtOnce: 1},
+	}
+
+	for _, e := range sim.executors {
+		if e != busy {
+			waves[1].Machines = append(waves[1].Machines, "m-"+e.id)
+		}
+	}
+
+	for _, wave := range waves {
+		sim.state.Apply(&jobs.Command{StartWave: wave})
+	}
+
+	sim.run(3 * time.Second)
+
+	settled, _ := sim.state.Wave(1)
+	assert.Assert(t, settled.Complete())
+
+	sim.run(2 * defaultLease)
+
+	job, _ := sim.state.Job("job")
+	assert.Equal(t, job.State(), mill.JobCompleted)
+
+	return sim
+}
+
+// TestEndsAreReadBeforeMaintenance guards against an order that ends a worker whose task is done before the leader has asked
+// for it: the task ran again.
+func TestEndsAreReadBeforeMaintenance(t *testing.T) {
+	sim := maintainSilentWorker(t, 500*time.Millisecond)
+	assert.Equal(t, sim.provider.starts[mill.StepID{Job: "job"}.Task(0)], 1)
+}
--- a/internal/lead/maintenance_test.go
+++ b/internal/lead/maintenance_test.go
@@ -31,11 +31,16 @@
 	maxDown      int
 	// listDelay is how long the provider takes to answer with a list, which it makes when the request arrives.
 	listDelay time.Duration
+	// lostEnds holds the tasks whose ends as done were not read before their machines went down, with the ends of the leases.
+	lostEnds map[mill.TaskID]time.Time
+	// starts counts the starts of each task.
+	starts map[mill.TaskID]int
 }
 
 func newProvider(sim *simulation) *provider {
 	p := &provider{
 		sim: sim, workers: make(map[string]*executor), downUntil: make(map[string]time.Time), begun: make(map[[2]string]int),
+		lostEnds: make(map[mill.TaskID]time.Time), starts: make(map[mill.TaskID]int),
 	}
 
 	for _, e := range sim.executors {
@@ -79,10 +84,33 @@
 
 	old := p.workers[machine]
 	old.up = false
+	p.recordLostEnds(old)
 
 	p.sim.after(simMaintenanceTime, func() { p.replaceWorker(machine) })
 }
 
+// recordLostEnds records the ends that a worker has not been acknowledged when its machine goes down.
+func (p *provider) recordLostEnds(e *executor) {
+	left := float64(e.leaseEndMilli-e.clock()) / (1 - e.drift)
+
+	for i := range e.finished {
+		if e.finished[i].Cause == mill.FinishDone {
+			p.lostEnds[e.finished[i].Task] = p.sim.now.Add(time.Duration(left) * time.Millisecond)
+		}
+	}
+}
+
+// checkStart counts a start, and checks that a task whose end was lost with its machine does not start before the lease has
+// passed.
+func (p *provider) checkStart(task mill.TaskID) {
+	p.starts[task]++
+
+	if until, lost := p.lostEnds[task]; lost && p.sim.now.Before(until) {
+		p.sim.t.Fatalf("%s: task %s starts after it was done, %s before the lease ends", p.sim.elapsed(), task,
+			until.Sub(p.sim.now))
+	}
+}
+
 // replaceWorker starts a new worker on a machine whose worker has ended.
 func (p *provider) replaceWorker(machine string) {
 	old := p.workers[machine]
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -196,15 +196,28 @@
 		order.Wait = min(maxReportWait, s.bounds.Lease()/3)
 	}
 
+	order.Wait = min(order.Wait, s.maxReportWait(w))
+
+	return order
+}
+
+// maxReportWait returns how long a worker may delay its report until a run finishes.
+func (s *Scheduler) maxReportWait(w *worker) time.Duration {
+	wait := maxReportWait
+
+	if s.promptWorkers[w.status.ID] || s.maintenanceOf(w) != nil {
+		wait = min(wait, drainReportWait)
+	}
+
 	if w.isolatingRuns > 0 {
-		order.Wait = min(order.Wait, crashTime)
+		wait = min(wait, crashTime)
 	}
 
 	if w.mixesBestEffort() {
-		order.Wait = min(order.Wait, sharedReportWait)
+		wait = min(wait, sharedReportWait)
 	}
 
-	return order
+	return wait
 }
 
 // canRenew reports whether the worker can be sent a renewal, which also asks for a report. It is
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -57,6 +57,9 @@
 	listingMachines   bool
 	// plannedWaves holds the numbers of the incomplete waves that were there at the last plan.
 	plannedWaves map[int]bool
+	// promptWorkers holds the ids of the workers on the machines that come next in a wave. They report their ends at short
+	// intervals, so that the wave need not wait for that.
+	promptWorkers map[string]bool
 	// inMaintenance lists the machines that are in maintenance by the provider's list.
 	inMaintenance []string
 	// maintenance holds the machines that are being drained or are down in a maintenance wave.
@@ -123,6 +126,7 @@
 		orphans:             make(map[mill.RunRef]orphan),
 		maintenance:         make(map[string]*maintenance),
 		plannedWaves:        make(map[int]bool),
+		promptWorkers:       make(map[string]bool),
 		waitingSinceFailure: make(map[mill.TaskID]time.Time),
 	}
 
