Wait for the lease of unread runs after a machine's maintenance

When the provider's list showed that a machine was down, all runs of its worker were taken for lost, and their tasks started elsewhere at once, also one that was done and whose end had not been read. These runs now count until the lease has passed, as after a crash. Tasks that last do not end by themselves and start elsewhere at once as before, as do those whose start was never sent.

TestUnreadEndWaitsForTheLease failed before ("starts after it was done, 5.1s before the lease ends") and passes.

--- a/internal/lead/crash.go
+++ b/internal/lead/crash.go
@@ -17,6 +17,12 @@
 func (s *Scheduler) workerReplaced(w *worker) {
 	s.recordCrash(w)
 
+	if w.shutDown || s.mayBeDown(w) {
+		w.shutDown = true
+
+		return
+	}
+
 	w.gone = true
 }
 
@@ -24,7 +30,7 @@
 // is in maintenance. Only runs that are known to have started are suspected: for the others it is not certain that
 // the worker has crashed under them.
 func (s *Scheduler) recordCrash(w *worker) {
-	if w.gone || w.status.Draining || w.leaving || s.mayBeDown(w) {
+	if w.ended() || w.status.Draining || w.leaving || s.mayBeDown(w) {
 		return
 	}
 
--- a/internal/lead/maintenance.go
+++ b/internal/lead/maintenance.go
@@ -88,9 +88,8 @@
 		return
 	}
 
-	// The worker that ran on the machine has stopped, with all its runs.
 	if w, known := s.workers[m.worker]; known {
-		w.gone = true
+		w.shutDown = true
 	}
 }
 
--- a/internal/lead/maintenance_ends_test.go
+++ b/internal/lead/maintenance_ends_test.go
@@ -77,3 +77,11 @@
 	sim := maintainSilentWorker(t, 500*time.Millisecond)
 	assert.Equal(t, sim.provider.starts[mill.StepID{Job: "job"}.Task(0)], 1)
 }
+
+// TestUnreadEndWaitsForTheLease guards against a task that is done and runs again at once, because its end was not read
+// before the maintenance of its machine: that is known to have ended the worker, but not that it has ended the run.
+func TestUnreadEndWaitsForTheLease(t *testing.T) {
+	sim := maintainSilentWorker(t, time.Minute)
+	assert.Equal(t, sim.provider.starts[mill.StepID{Job: "job"}.Task(0)], 2)
+	assert.Equal(t, len(sim.provider.lostEnds), 1)
+}
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -52,7 +52,7 @@
 
 // takesRuns reports whether the runs that are placed on a worker may be started there.
 func (s *Scheduler) takesRuns(w *worker, now time.Time) bool {
-	return len(w.runs) == 0 || !w.leaving && s.fitsRuns(w, now)
+	return len(w.runs) == 0 || !w.leaving && !w.shutDown && s.fitsRuns(w, now)
 }
 
 // fitsRuns reports whether a worker is known to have the capacity for the runs that are or may be active on it.
@@ -134,7 +134,7 @@
 }
 
 func (s *Scheduler) addStop(actions *Actions, r *run, now time.Time) {
-	if r.stopAcknowledged || now.Before(r.nextStop) || r.worker.status.Address == "" {
+	if r.stopAcknowledged || now.Before(r.nextStop) || r.worker.ended() || r.worker.status.Address == "" {
 		return
 	}
 
@@ -149,7 +149,7 @@
 			continue
 		}
 
-		if o.worker.gone || s.workers[o.worker.status.ID] != o.worker {
+		if o.worker.ended() || s.workers[o.worker.status.ID] != o.worker {
 			delete(s.orphans, ref)
 
 			continue
@@ -223,7 +223,7 @@
 // canRenew reports whether the worker can be sent a renewal, which also asks for a report. It is
 // withheld until the finished runs that were reported are committed, so that it acknowledges them.
 func (w *worker) canRenew(now time.Time) bool {
-	if w.renewing || w.gone || w.uncommittedFinishes > 0 {
+	if w.renewing || w.ended() || w.uncommittedFinishes > 0 {
 		return false
 	}
 
--- a/internal/lead/room.go
+++ b/internal/lead/room.go
@@ -62,7 +62,7 @@
 
 // runsTasks reports whether a worker answers and is not about to end, whether or not it is given work.
 func (s *Scheduler) runsTasks(w *worker, now time.Time) bool {
-	return !w.gone && !w.leaving && !w.status.Draining && w.failedRenewals == 0 && !w.lastHeard.IsZero() &&
+	return !w.ended() && !w.leaving && !w.status.Draining && w.failedRenewals == 0 && !w.lastHeard.IsZero() &&
 		now.Sub(w.lastHeard) < reportTimeout && w.status.Capacity.Valid() && s.maintenanceOf(w) == nil
 }
 
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -237,6 +237,7 @@
 	}
 
 	w.gone = false
+	w.shutDown = false
 	w.leaving = false
 
 	if w.clock.outdated(status.ClockMilli, at) {
@@ -270,7 +271,8 @@
 func (s *Scheduler) workerRestarted(w *worker, clockMilli int64, now time.Time) {
 	s.recordCrash(w)
 
-	w.leaving = false // It was the earlier incarnation that left.
+	w.leaving = false // It was the earlier incarnation that left, or whose machine went down.
+	w.shutDown = false
 	w.restarts++
 	w.clock = clock{}
 	w.leaseEndMilli = clockMilli + s.bounds.MaxLease.Milliseconds()
@@ -375,8 +377,12 @@
 			continue
 		}
 
-		if w.gone || s.leasesExpired(w, now) {
+		switch {
+		case w.gone || s.leasesExpired(w, now):
 			s.finishRuns(w, mill.FinishLeaseExpired)
+		case w.shutDown:
+			s.finishEndlessRuns(w)
+		default:
 		}
 	}
 }
@@ -406,7 +412,7 @@
 // leasesExpired reports whether no run can still be active on a worker that does not answer.
 func (s *Scheduler) leasesExpired(w *worker, now time.Time) bool {
 	if !w.mayHoldInherited {
-		return w.failedRenewals > 0 && w.leasesExpired(now, s.bounds.MaxLeaseDelay)
+		return (w.failedRenewals > 0 || w.shutDown) && w.leasesExpired(now, s.bounds.MaxLeaseDelay)
 	}
 
 	if s.earlierLeaseLeft(now)+s.bounds.MaxLeaseDelay >= 0 {
@@ -424,6 +430,16 @@
 	return longest - now.Sub(s.termStart)
 }
 
+// finishEndlessRuns finishes the runs of a worker that has ended for maintenance that do not end by themselves. The others
+// may have been done, with their ends on the way, so that their tasks must not start again before the lease has passed.
+func (s *Scheduler) finishEndlessRuns(w *worker) {
+	for _, r := range w.runs {
+		if r.phase != runProposed && r.step.LongRunning {
+			s.finishRun(r, mill.FinishLeaseExpired)
+		}
+	}
+}
+
 func (s *Scheduler) finishRuns(w *worker, cause mill.FinishCause) {
 	w.mayHoldInherited = false
 
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -35,6 +35,8 @@
 	leaving bool
 	// gone says that the worker has certainly stopped, with all its runs.
 	gone bool
+	// shutDown says that the worker has ended with its machine, for maintenance. The ends of runs may have been on their way.
+	shutDown bool
 	// runs holds the runs that may be active on the worker or are being placed on it.
 	runs map[mill.TaskID]*run
 	// sortedRuns holds the runs by task; nil after one was added or removed.
@@ -209,9 +211,14 @@
 	return false
 }
 
+// ended reports whether the worker has certainly stopped.
+func (w *worker) ended() bool {
+	return w.gone || w.shutDown
+}
+
 // answers reports whether the worker reports and answers, and is not about to stop.
 func (w *worker) answers(now time.Time) bool {
-	if w.gone || w.leaving || w.lastHeard.IsZero() || w.status.Draining || !w.clock.known() {
+	if w.ended() || w.leaving || w.lastHeard.IsZero() || w.status.Draining || !w.clock.known() {
 		return false
 	}
 
--- a/internal/lead/worker_records.go
+++ b/internal/lead/worker_records.go
@@ -46,7 +46,7 @@
 
 // recordDue returns the command that brings the worker's record up to date, if one is due.
 func (w *worker) recordDue(id string) (command jobs.Command, due bool) {
-	switch leaving := w.gone || w.leaving; {
+	switch leaving := w.ended() || w.leaving; {
 	case w.recording, w.unrecordable:
 		return jobs.Command{}, false
 	case leaving:
