Remember the machines that are down beyond the end of their wave

A wave is complete as soon as the order for its last machine is answered. planMaintenance then forgot the machines that were down, so that no list was read for them any more, and long-running tasks waited for the leases of their workers. They are now kept until the list shows them back in service, or until the time of a lease has passed since the order; the leader goes on listing machines while that tells it something.

TestLastMachineOfAWaveIsNotForgotten failed before (no run 1 s after the maintenance began) and passes.

--- a/internal/lead/maintenance.go
+++ b/internal/lead/maintenance.go
@@ -34,8 +34,9 @@
 	worker string
 	// drainingSince is since when the machine gets no new work.
 	drainingSince time.Time
-	// ordered says that an order was sent, so that the machine may be down.
-	ordered bool
+	// ordered says that an order was sent, so that the machine may be down, and orderedAt when the last one was.
+	ordered   bool
+	orderedAt time.Time
 	// dueSince is since when nothing but the ends of runs holds the order back.
 	dueSince  time.Time
 	inFlight  bool
@@ -104,9 +105,9 @@
 	s.noticeWaves(waves, now)
 	clear(s.promptWorkers)
 
-	if len(waves) == 0 {
-		clear(s.maintenance)
+	s.forgetMaintenance(now)
 
+	if len(waves) == 0 && !s.listNeeded(now) {
 		return
 	}
 
@@ -119,12 +120,6 @@
 		return
 	}
 
-	for id, m := range s.maintenance {
-		if s.backInService(id, m) {
-			delete(s.maintenance, id)
-		}
-	}
-
 	for _, wave := range waves {
 		s.advanceWave(actions, wave, now, state)
 	}
@@ -136,6 +131,30 @@
 	}
 }
 
+// forgetMaintenance deletes the maintenance of machines that are back in service. When their wave is complete, it also
+// deletes that of machines that were never ordered down, or for which the leases of their workers have passed.
+func (s *Scheduler) forgetMaintenance(now time.Time) {
+	for id, m := range s.maintenance {
+		over := !m.inFlight && now.Sub(m.orderedAt) > s.bounds.Lease()
+		if s.backInService(id, m) || over && !s.plannedWaves[m.wave] {
+			delete(s.maintenance, id)
+		}
+	}
+}
+
+// listNeeded reports whether machines that went down in a complete wave have to be listed: to learn that their workers have
+// ended, or that they are back in service.
+func (s *Scheduler) listNeeded(now time.Time) bool {
+	for _, m := range s.maintenance {
+		w, known := s.workers[m.worker]
+		if !m.startedAt.IsZero() && (known && !w.ended() || now.After(m.startedAt.Add(s.bounds.MaintenanceTime))) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // noticeWaves marks the list of machines as out of date when there is a wave that was not there at the last plan.
 func (s *Scheduler) noticeWaves(waves []*jobs.Wave, now time.Time) {
 	planned := make(map[int]bool, len(waves))
@@ -290,6 +309,7 @@
 	}
 
 	m.ordered = true
+	m.orderedAt = now
 	m.inFlight = true
 
 	actions.Maintenance = append(actions.Maintenance, Maintenance{
--- a/internal/lead/maintenance_ends_test.go
+++ b/internal/lead/maintenance_ends_test.go
@@ -85,3 +85,50 @@
 	assert.Equal(t, sim.provider.starts[mill.StepID{Job: "job"}.Task(0)], 2)
 	assert.Equal(t, len(sim.provider.lostEnds), 1)
 }
+
+// TestLastMachineOfAWaveIsNotForgotten guards against long-running tasks that wait for the leases of the last machines of a
+// wave though the machines are known to be down, because the wave is complete.
+func TestLastMachineOfAWaveIsNotForgotten(t *testing.T) {
+	const tasks = 1
+
+	sim := servingSimulation(t, 3, tasks)
+
+	var busy *executor
+
+	for _, e := range sim.executors {
+		if len(e.running) > 0 {
+			busy = e
+		}
+	}
+
+	wave := &mill.Wave{Number: 1, Machines: []string{"m-" + busy.id}, Duration: 10 * time.Second, MaxAtOnce: 1}
+	sim.state.Apply(&jobs.Command{StartWave: wave})
+
+	for busy.up {
+		sim.step()
+	}
+
+	sim.run(time.Second)
+
+	settled, _ := sim.state.Wave(1)
+	assert.Assert(t, settled.Complete())
+	assert.Equal(t, sim.running("serving"), tasks, "1 s after the maintenance began")
+
+	sim.run(simMaintenanceTime)
+	assert.Equal(t, len(sim.leader.scheduler.maintenance), 0, "the machine is back in service")
+}
+
+// running counts the runs of a job.
+func (sim *simulation) running(job string) int {
+	count := 0
+
+	for _, e := range sim.executors {
+		for task := range e.running {
+			if e.up && task.Job == job {
+				count++
+			}
+		}
+	}
+
+	return count
+}
