--- a/internal/lead/maintenance.go
+++ b/internal/lead/maintenance.go
@@ -17,6 +17,12 @@
 	listInterval = 200 * time.Millisecond
 	// maintenanceRetryDelay is the pause before a maintenance order is sent again.
 	maintenanceRetryDelay = 500 * time.Millisecond
+	// drainReportWait is how long a worker may delay its report while its machine is drained or comes next: the order for the
+	// machine waits for the report.
+	drainReportWait = 200 * time.Millisecond
+	// endReportTime is how long after a run was stopped its end is read and committed: drainReportWait and some round trips
+	// between regions.
+	endReportTime = 400 * time.Millisecond
 )
 
 // maintenance is one machine of a wave that is being drained or is down.
@@ -26,8 +32,11 @@
 	worker string
 	// drainingSince is since when the machine gets no new work.
 	drainingSince time.Time
-	// ordered says that an order was sent, so that the machine may be down.
+	// ordered says that an order was sent, so that the machine may be down, and orderedAt when the last one was.
 	ordered   bool
+	orderedAt time.Time
+	// dueSince is since when the runs on the machine are stopped, and nothing but their ends holds the order back.
+	dueSince  time.Time
 	inFlight  bool
 	nextOrder time.Time
 	// startedAt is when the provider confirmed that the maintenance has begun or is done.
@@ -78,9 +87,8 @@
 		return
 	}
 
-	// The worker that ran on the machine has stopped, with all its runs.
 	if w, known := s.workers[m.worker]; known {
-		w.gone = true
+		w.shutDown = true
 	}
 }
 
@@ -93,10 +101,11 @@
 func (s *Scheduler) planMaintenance(actions *Actions, now time.Time, state *jobs.State) {
 	waves := state.IncompleteWaves()
 	s.noticeWaves(waves, now)
+	clear(s.promptWorkers)
 
-	if len(waves) == 0 {
-		clear(s.maintenance)
+	s.forgetMaintenance(now)
 
+	if len(waves) == 0 && !s.listNeeded(now) {
 		return
 	}
 
@@ -109,12 +118,6 @@
 		return
 	}
 
-	for id, m := range s.maintenance {
-		if s.backInService(id, m) {
-			delete(s.maintenance, id)
-		}
-	}
-
 	for _, wave := range waves {
 		s.advanceWave(actions, wave, now, state)
 	}
@@ -126,6 +129,30 @@
 	}
 }
 
+// forgetMaintenance deletes the maintenance of machines that are back in service. When their wave is complete, it also
+// deletes that of machines that were never ordered down, or for which the leases of their workers have passed.
+func (s *Scheduler) forgetMaintenance(now time.Time) {
+	for id, m := range s.maintenance {
+		over := !m.inFlight && now.Sub(m.orderedAt) > s.bounds.Lease()
+		if s.backInService(id, m) || over && !s.plannedWaves[m.wave] {
+			delete(s.maintenance, id)
+		}
+	}
+}
+
+// listNeeded reports whether machines that went down in a complete wave have to be listed: to learn that their workers have
+// ended, or that they are back in service.
+func (s *Scheduler) listNeeded(now time.Time) bool {
+	for _, m := range s.maintenance {
+		w, known := s.workers[m.worker]
+		if !m.startedAt.IsZero() && (known && !w.ended() || now.After(m.startedAt.Add(s.bounds.MaintenanceTime))) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // noticeWaves marks the list of machines as out of date when there is a wave that was not there at the last plan.
 func (s *Scheduler) noticeWaves(waves []*jobs.Wave, now time.Time) {
 	planned := make(map[int]bool, len(waves))
@@ -204,9 +231,16 @@
 // drainNext starts draining a wave's next machines, as far as the budget of every wave that
 // contains them allows it.
 func (s *Scheduler) drainNext(wave *jobs.Wave, budgets []*waveBudget, now time.Time) {
+	next := 0
+
 	for _, id := range s.machinesToDrain(wave) {
 		affected := slices.DeleteFunc(slices.Clone(budgets), func(b *waveBudget) bool { return !b.wave.Has(id) })
 		if slices.ContainsFunc(affected, func(b *waveBudget) bool { return b.remaining <= 0 }) {
+			if next < wave.Spec.MaxAtOnce {
+				s.promptWorkers[s.machines[id].Worker] = true
+				next++
+			}
+
 			continue
 		}
 
@@ -268,20 +302,12 @@
 		return
 	}
 
-	// Since it is drained, no work goes to the worker that the list names, but some may have gone to the one before.
-	if !m.ordered && !s.machinesListedAt.After(m.drainingSince) {
-		return
-	}
-
-	w, known := s.workers[m.worker]
-	busy := known && len(w.runs) > 0
-	drain := plan.DrainTime(wave.Spec.Duration, len(wave.Spec.Machines), wave.Spec.MaxAtOnce, s.bounds.MaintenanceTime)
-
-	if busy && !m.ordered && (now.Sub(m.drainingSince) < drain || !s.mayInterrupt(w, state)) {
+	if !m.ordered && !s.drained(wave, m, now, state) {
 		return
 	}
 
 	m.ordered = true
+	m.orderedAt = now
 	m.inFlight = true
 
 	actions.Maintenance = append(actions.Maintenance, Maintenance{
@@ -289,6 +315,58 @@
 	})
 }
 
+// drained reports whether a machine's tasks have had time to finish, may be interrupted, and have no ends that are not read.
+func (s *Scheduler) drained(wave *jobs.Wave, m *maintenance, now time.Time, state *jobs.State) bool {
+	// Since it is drained, no work goes to the worker that the list names, but some may have gone to the one before.
+	if !s.machinesListedAt.After(m.drainingSince) {
+		return false
+	}
+
+	w, known := s.workers[m.worker]
+	if !known {
+		return true
+	}
+
+	drain := plan.DrainTime(wave.Spec.Duration, len(wave.Spec.Machines), wave.Spec.MaxAtOnce, s.bounds.MaintenanceTime)
+	if m.dueSince.IsZero() {
+		if len(w.runs) > 0 && (now.Sub(m.drainingSince) < drain || !s.mayInterrupt(w, state)) {
+			return false
+		}
+
+		m.dueSince = now
+		s.stopForMaintenance(w)
+	}
+
+	return s.endsRead(m, w, now)
+}
+
+// stopForMaintenance stops the runs on a worker whose machine goes down, except those that last. The order would end them
+// without a report, so that a task that has just been done would run again; a stopped run also keeps what it has done.
+func (s *Scheduler) stopForMaintenance(w *worker) {
+	for _, r := range w.runs {
+		if !r.step.LongRunning && r.phase != runProposed && !r.stopping {
+			s.stopRun(r)
+		}
+	}
+}
+
+// endsRead reports whether the ends on a worker are committed and nothing runs there but tasks that last. It does not wait
+// for long: a worker that does not answer must not stop a wave.
+func (s *Scheduler) endsRead(m *maintenance, w *worker, now time.Time) bool {
+	if now.Sub(m.dueSince) >= s.bounds.MaxStopTime+endReportTime ||
+		w.failedRenewals > 0 && now.Sub(w.lastHeard) >= reportTimeout {
+		return true
+	}
+
+	for _, r := range w.runs {
+		if !r.step.LongRunning {
+			return false
+		}
+	}
+
+	return w.uncommittedFinishes == 0
+}
+
 // mayInterrupt reports whether every run on a worker may be interrupted by maintenance.
 func (s *Scheduler) mayInterrupt(w *worker, state *jobs.State) bool {
 	interrupted := make(map[mill.StepID]int)
