--- a/GNUmakefile
+++ b/GNUmakefile
@@ -20,8 +20,8 @@
 	./scripts/fuzz.sh $(FUZZTIME)
 
 .PHONY: soak
-soak: ## Disturb real processes under load, look for jobs that stand still or are shown wrongly, with SEEDS fresh seeds.
-	MILL_SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 3h -v -run 'TestSoakStandstill|TestSoakGangsUnderFaults' ./platform/soak
+soak: ## Disturb real processes under load, look for jobs that stand still, are shown wrongly or exceed limits, with SEEDS fresh seeds.
+	MILL_SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 3h -v -run 'TestSoakStandstill|TestSoakGangsUnderFaults|TestSoakTenantsOfSeeds' ./platform/soak
 
 .PHONY: upgrades
 upgrades: ## Play processes of an earlier build beside those of this one and before them, with SEEDS fresh seeds; OLD is its program.
