Run jobs on the route that their requests select

Two routes with one name were one queue: the leader found the route of a request by host and path, but committed only its name, and replicas took the first route of that name. Jobs of the second route ran on the service of the first, the count of pending jobs mixed both, and a call without a key on a public route could read jobs of another route of the name.

Submissions now hold the host and prefix of the route, and jobs the route if several have its name. Job.Queue stays the first route of the name, and all replicas go on deciding outcomes by its MaxAttempts, so that those of earlier builds hold the same ones; where the route allows another number of attempts, the leader chooses what it commits, as for gangs.

The submission passes on the setup that it was looked up in, instead of looking the state up again.

The simulation in internal/lead has a queue with the name of another one.

Changed tests: Pending takes a queue instead of a name; shares_test passes the setup in the submission; failed_gang_test reads the attempts of simSetup, as the first queue of the simulation is now another one of the name.

--- a/internal/core/access.go
+++ b/internal/core/access.go
@@ -9,6 +9,7 @@
 
 // access is what a call on a queue may do with jobs.
 type access struct {
+	index *mill.SetupIndex
 	queue *mill.Queue
 	// tenant is the name of the tenant that holds the call's key; "" for a call on a public queue without one.
 	tenant string
@@ -21,16 +22,16 @@
 // authenticate returns what a call on a queue may do, or ErrUnauthenticated if it needs the key of a tenant.
 func authenticate(index *mill.SetupIndex, queue *mill.Queue, key mill.APIKey) (access, error) {
 	if !index.HasTenants() {
-		return access{queue: queue, unrestricted: true}, nil
+		return access{index: index, queue: queue, unrestricted: true}, nil
 	}
 
 	tenant, ok := index.TenantOf(key)
 
 	switch {
 	case ok:
-		return access{queue: queue, tenant: tenant.Name, weight: tenant.Weight}, nil
+		return access{index: index, queue: queue, tenant: tenant.Name, weight: tenant.Weight}, nil
 	case queue.Public:
-		return access{queue: queue}, nil
+		return access{index: index, queue: queue}, nil
 	default:
 		return access{}, merry.Prependf(mill.ErrUnauthenticated, "queue %q", queue.Name, merry.NoCaptureStack())
 	}
@@ -44,15 +45,9 @@
 		return nil
 	case a.tenant != "" && (job.Tenant == "" || job.Tenant == a.tenant):
 		return nil
-	case a.tenant == "" && sameQueue(&job.Queue, a.queue):
+	case a.tenant == "" && job.CurrentQueue(a.index) == a.queue:
 		return nil
 	default:
 		return merry.Prepend(mill.ErrForbidden, job.ID, merry.NoCaptureStack())
 	}
 }
-
-// sameQueue reports whether two versions of a setup may mean the same queue: one may rename it, or move it to another
-// prefix.
-func sameQueue(a, b *mill.Queue) bool {
-	return a.Name == b.Name || a.Host == b.Host && a.Prefix == b.Prefix
-}
--- a/internal/core/job_calls.go
+++ b/internal/core/job_calls.go
@@ -49,6 +49,7 @@
 // submission is what a SubmitRequest means by the setup in force.
 type submission struct {
 	id     string
+	setup  *mill.Setup
 	access access
 	// known means that the job was accepted before.
 	known bool
@@ -64,7 +65,7 @@
 			return
 		}
 
-		found.id = id
+		found.id, found.setup = id, state.Setup()
 
 		if found.access, err = authenticate(state.SetupIndex(), queue, request.Key); err != nil {
 			return
@@ -83,7 +84,7 @@
 func (c *Core) commitSubmission(ctx context.Context, request *SubmitRequest, found *submission) (*SubmitReply, error) {
 	queue, tenant := found.access.queue.Name, found.access.tenant
 
-	admission, refused := c.shares.admit(found, c.runner.Load(), c.setupInForce(), time.Now())
+	admission, refused := c.shares.admit(found, c.runner.Load(), time.Now())
 	if refused != nil {
 		c.callMetrics.recordSubmission(tenant, false)
 
@@ -98,6 +99,7 @@
 		Tenant:    tenant,
 
 		BeyondShare: admission.beyondShare,
+		Route:       jobs.NewSelectedRoute(found.access.index, found.access.queue),
 	}})
 	admission.end(err)
 
@@ -253,7 +255,7 @@
 		}
 
 		if _, err = authenticate(state.SetupIndex(), queue, request.Key); err == nil {
-			reply.Pending = state.Pending(queue.Name)
+			reply.Pending = state.Pending(queue)
 		}
 	})
 
--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -6,7 +6,6 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/internal/lead"
 	"github.com/cranberrymill/cranberrymill/internal/logs"
 	"github.com/cranberrymill/cranberrymill/internal/plan"
@@ -32,17 +31,15 @@
 }
 
 // admit returns the admission of a new job, or the receipt with which it is refused.
-func (s *shares) admit(
-	found *submission, runner *lead.Runner, setup *mill.Setup, now time.Time,
-) (*admission, *mill.Receipt) {
+func (s *shares) admit(found *submission, runner *lead.Runner, now time.Time) (*admission, *mill.Receipt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	admitted := &admission{shares: s, job: found.id}
 
-	if found.access.tenant != "" && setup != nil && s.committing[found.id] == 0 {
+	if found.access.tenant != "" && s.committing[found.id] == 0 {
 		var refused *mill.Receipt
-		if admitted.beyondShare, refused = s.judge(found, runner, setup, now); refused != nil {
+		if admitted.beyondShare, refused = s.judge(found, runner, now); refused != nil {
 			return nil, refused
 		}
 	}
@@ -57,10 +54,8 @@
 }
 
 // judge reports whether a new job is beyond its tenant's share, and returns the receipt if it is refused for that.
-func (s *shares) judge(
-	found *submission, runner *lead.Runner, setup *mill.Setup, now time.Time,
-) (beyond bool, refused *mill.Receipt) {
-	s.meter.Configure(setup)
+func (s *shares) judge(found *submission, runner *lead.Runner, now time.Time) (beyond bool, refused *mill.Receipt) {
+	s.meter.Configure(found.setup)
 
 	beyond, wait := s.meter.Take(found.access.tenant, found.access.weight, now)
 	if !beyond || runner == nil {
@@ -116,12 +111,3 @@
 		Float64("weight", found.access.weight).Dur("wait", wait).Int("skipped", skipped).
 		Msg("submission beyond the tenant's share refused, its service is full")
 }
-
-// setupInForce returns the setup in force, or nil if there is none.
-func (c *Core) setupInForce() *mill.Setup {
-	var setup *mill.Setup
-
-	c.stateMachine.view(func(state *jobs.State) { setup = state.Setup() })
-
-	return setup
-}
--- a/internal/core/shares_test.go
+++ b/internal/core/shares_test.go
@@ -13,7 +13,7 @@
 // refusals beside room: without a saturated service none is refused.
 func TestWorkBeyondTheShareIsMarked(t *testing.T) {
 	setup := &mill.Setup{Tenants: []mill.Tenant{{Name: "a", Weight: 1}}}
-	found := &submission{id: "j", access: access{queue: &mill.Queue{Service: "s"}, tenant: "a", weight: 1}}
+	found := &submission{id: "j", setup: setup, access: access{queue: &mill.Queue{Service: "s"}, tenant: "a", weight: 1}}
 	now := time.Now()
 
 	var s shares
@@ -21,7 +21,7 @@
 	beyond := 0
 
 	for range 5 {
-		admitted, refused := s.admit(found, nil, setup, now)
+		admitted, refused := s.admit(found, nil, now)
 		assert.Assert(t, refused == nil)
 
 		if admitted.beyondShare {
@@ -33,7 +33,7 @@
 
 	assert.Equal(t, beyond, 3, "two seconds of the share are saved up")
 
-	first, _ := s.admit(found, nil, setup, now.Add(time.Minute))
+	first, _ := s.admit(found, nil, now.Add(time.Minute))
 	first.end(mill.ErrUnavailable)
 	assert.Equal(t, s.committing["j"], 1, "a job whose commit has failed may still be committed")
 }
--- a/internal/jobs/attempts.go
+++ b/internal/jobs/attempts.go
@@ -11,10 +11,10 @@
 func (j *Job) Attempts(id mill.TaskID) int {
 	step, task := j.Task(id)
 	if !j.Work.Steps[id.Step].Gang {
-		return task.Failures
+		return task.Failures + task.UncountedFailures
 	}
 
-	if j.Work.Steps[id.Step].LongRunning || j.Queue.MaxAttempts <= 0 {
+	if j.Work.Steps[id.Step].LongRunning || j.SelectedQueue().MaxAttempts <= 0 {
 		return 0 // There is no limit to them, so they are not counted.
 	}
 
@@ -44,7 +44,7 @@
 
 // adoptEarlierFailures derives the failed attempts of gangs from the data of a build that has not stored them.
 func (j *Job) adoptEarlierFailures() {
-	if j.Queue.MaxAttempts <= 0 {
+	if j.SelectedQueue().MaxAttempts <= 0 {
 		return
 	}
 
--- a/internal/jobs/builds_fuzz_test.go
+++ b/internal/jobs/builds_fuzz_test.go
@@ -59,6 +59,9 @@
 	earlier *earlierReplica
 	work    map[string]mill.Workload
 	queue   map[string]string
+	// limit holds the number of attempts of the queue that a job belongs to, which may differ from that of the first queue of
+	// the name; 0 for no limit.
+	limit map[string]int
 	// active holds the runs that have not ended, and listed the ends that workers list until they are committed.
 	active  map[mill.TaskID]int
 	listed  []gangEnd
@@ -87,6 +90,7 @@
 			earlier:     &earlierReplica{jobs: make(map[string]*earlierJob)},
 			work:        make(map[string]mill.Workload),
 			queue:       make(map[string]string),
+			limit:       make(map[string]int),
 			active:      make(map[mill.TaskID]int),
 			read:        make(map[mill.RunRef]bool),
 			gangs:       make(map[mill.StepID]*knownRun),
@@ -98,7 +102,15 @@
 
 		s := &mill.Setup{Version: 1, Services: []mill.Service{{Name: "pool"}}}
 		for attempts := 1; attempts <= 4; attempts++ {
-			s.Queues = append(s.Queues, mill.Queue{Name: fmt.Sprint(attempts), Service: "pool", MaxAttempts: attempts, Timeout: 1})
+			name := fmt.Sprint(attempts)
+			s.Queues = append(s.Queues, mill.Queue{Name: name, Prefix: name, Service: "pool", MaxAttempts: attempts, Timeout: 1})
+		}
+
+		for limit := 0; limit <= 4; limit++ {
+			for _, first := range s.Queues[:4] {
+				first.Prefix, first.MaxAttempts = routeOf(first.Name, limit), limit
+				s.Queues = append(s.Queues, first)
+			}
 		}
 
 		b.replica.Apply(&Command{Setup: s})
@@ -137,7 +149,20 @@
 
 	b.work[job] = work
 	b.queue[job] = rapid.SampledFrom([]string{"1", "2", "3", "4"}).Draw(t, "attempts")
-	b.apply(&Command{Submit: &Submit{Job: job, Queue: b.queue[job], Work: work}})
+	b.limit[job] = attemptsOf(b.queue[job])
+	submit := &Submit{Job: job, Queue: b.queue[job], Work: work}
+
+	if rapid.IntRange(0, 2).Draw(t, "other queue of the name") == 0 {
+		b.limit[job] = rapid.IntRange(0, 4).Draw(t, "limit")
+		submit.Route = &SelectedRoute{Prefix: routeOf(b.queue[job], b.limit[job])}
+	}
+
+	b.apply(&Command{Submit: submit})
+}
+
+// routeOf returns the prefix of a queue that shares its name with another and has a limit of its own.
+func routeOf(queue string, limit int) string {
+	return fmt.Sprint(queue, "/", limit)
 }
 
 func (b *builds) apply(command *Command) Result {
@@ -292,7 +317,7 @@
 		result := b.apply(&p.command)
 
 		if result == ResultApplied {
-			b.recordEnd(p.end)
+			b.recordEnd(p.end, p.earlier)
 			b.endedByEarlier[p.end.run.Task.StepID] = p.earlier
 		}
 
@@ -306,8 +331,12 @@
 	b.pending = slices.Clone(b.pending[count:])
 }
 
-func (b *builds) recordEnd(end gangEnd) {
+func (b *builds) recordEnd(end gangEnd, earlier bool) {
 	if end.cause == mill.FinishFailed {
+		// A leader of the earlier build goes by the first queue of the name.
+		job := end.run.Task.Job
+		b.uncertain[job] = b.uncertain[job] || earlier && b.limit[job] != attemptsOf(b.queue[job])
+
 		b.noted.RecordFailed(end.run, true)
 		b.ownFailures[end.run.Task]++
 	}
@@ -324,7 +353,7 @@
 	work := b.work[job]
 
 	return slices.ContainsFunc(gangsOf(job, &work), func(id mill.StepID) bool {
-		return attempts.Failed(id.Task(0), true) >= attemptsOf(b.queue[job])
+		return reaches(b.limit[job], attempts.Failed(id.Task(0), true))
 	})
 }
 
@@ -398,6 +427,8 @@
 
 	for id, job := range stored.Jobs {
 		b.uncertain[id] = true
+		b.limit[id] = attemptsOf(b.queue[id])
+		job.Route = nil
 
 		for number, occurrence := range job.Occurrences {
 			for i := range occurrence.Steps {
@@ -430,19 +461,25 @@
 		assert.Assert(t, b.uncertain[job] || !b.outOfAttempts(job, &b.noted), "%s is open without attempts left", job)
 
 		for task, failures := range b.ownFailures {
-			assert.Assert(t, task.Job != job || failures < attemptsOf(b.queue[job]), "%s has failed %d times", task, failures)
+			assert.Assert(t, task.Job != job || b.countsOtherwise(job) || !reaches(b.limit[job], failures),
+				"%s has failed %d times", task, failures)
 		}
 	}
 }
 
+// countsOtherwise reports whether a leader of the earlier build has counted attempts of a job by another queue.
+func (b *builds) countsOtherwise(job string) bool {
+	return b.uncertain[job] && b.limit[job] != attemptsOf(b.queue[job])
+}
+
 // leftToEarlier reports whether a gang of the job ended last under a leader of the earlier build that does not know of all
 // attempts: those of a run whose end that counts was lost with its leader and its worker.
 func (b *builds) leftToEarlier(job string) bool {
 	work := b.work[job]
 
 	return slices.ContainsFunc(gangsOf(job, &work), func(id mill.StepID) bool {
-		limit := attemptsOf(b.queue[job])
+		limit := b.limit[job]
 
-		return b.noted.Failed(id.Task(0), true) >= limit && b.earlier.jobs[job].failures(id) < limit && b.endedByEarlier[id]
+		return reaches(limit, b.noted.Failed(id.Task(0), true)) && b.earlier.jobs[job].failures(id) < limit && b.endedByEarlier[id]
 	})
 }
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -32,6 +32,27 @@
 	Tenant string `cbor:"5,keyasint,omitempty"`
 	// BeyondShare means that the tenant had submitted more than its share when the job was accepted.
 	BeyondShare bool `cbor:"6,keyasint,omitempty"`
+	// Route is the queue that the request has selected; nil in entries of earlier builds. Earlier builds ignore it and take
+	// the first queue named Queue.
+	Route *SelectedRoute `cbor:"7,keyasint,omitempty"`
+}
+
+// SelectedRoute is the queue that a request has selected by its host and path.
+type SelectedRoute struct {
+	Host   string `cbor:"1,keyasint,omitempty"`
+	Prefix string `cbor:"2,keyasint,omitempty"`
+	// Queue is the queue's configuration if others have its name, in case that it is removed before the entry is committed.
+	Queue *mill.Queue `cbor:"3,keyasint,omitempty"`
+}
+
+// NewSelectedRoute returns what a submission to a queue of a setup tells of it.
+func NewSelectedRoute(setup *mill.SetupIndex, queue *mill.Queue) *SelectedRoute {
+	route := &SelectedRoute{Host: queue.Host, Prefix: queue.Prefix}
+	if setup.SharesName(queue.Name) {
+		route.Queue = queue
+	}
+
+	return route
 }
 
 // Cancel cancels a job; it has no effect on a finished one.
--- a/internal/jobs/earlier_build_test.go
+++ b/internal/jobs/earlier_build_test.go
@@ -75,7 +75,7 @@
 	case mill.FinishFailed:
 		task.failures++
 
-		if job.outcome == "" && job.failures(finished.Task.StepID) >= job.maxAttempts {
+		if job.outcome == "" && reaches(job.maxAttempts, job.failures(finished.Task.StepID)) {
 			job.outcome = mill.JobFailed
 		}
 	default:
--- a/internal/jobs/gang_run.go
+++ b/internal/jobs/gang_run.go
@@ -14,6 +14,8 @@
 	// limit is the number of failed attempts after which the job fails, and attempts that of the earlier runs.
 	limit    int
 	attempts int
+	// replicaLimit is the number of failures after which replicas fail the job. It may differ where queues share a name.
+	replicaLimit int
 	// counted is the number of failures that replicas have added up. It exceeds the attempts in data of an earlier build.
 	counted int
 	// failed says that a member has failed, and counts is the index of the one whose end counts, or noMember.
@@ -26,9 +28,9 @@
 
 // NewGangRun returns what the state shows of a run of a gang.
 func NewGangRun(job *Job, id mill.StepID, number int) *GangRun {
-	g := &GangRun{limit: job.Queue.MaxAttempts, counts: noMember}
+	g := &GangRun{limit: job.SelectedQueue().MaxAttempts, replicaLimit: job.Queue.MaxAttempts, counts: noMember}
 	if job.Work.Steps[id.Step].LongRunning {
-		g.limit = 0 // Its runs may fail at any time.
+		g.limit, g.replicaLimit = 0, 0 // Its runs may fail at any time.
 	}
 
 	step, _ := job.Task(id.Task(0))
@@ -49,7 +51,7 @@
 
 // Amend makes the end of a member's run one to commit. An end that is proposed again counts as it did before.
 func (g *GangRun) Amend(finished *Finish) {
-	if g.limit <= 0 {
+	if g.limit <= 0 && g.replicaLimit <= 0 {
 		return
 	}
 
@@ -58,7 +60,7 @@
 	}
 
 	// The end that counts may be lost with its leader and its worker after another one of the run was committed.
-	if g.failed && g.attempts+1 >= g.limit && finished.Cause != mill.FinishDone {
+	if g.limit > 0 && g.failed && g.attempts+1 >= g.limit && finished.Cause != mill.FinishDone {
 		finished.GivesUp = true
 	}
 }
@@ -69,13 +71,12 @@
 		g.counts = finished.Task.Index
 	}
 
-	finished.Attempts = g.attempts + 1
+	if g.limit > 0 {
+		finished.Attempts = g.attempts + 1
+	}
 
 	// The last attempt ends the job by GivesUp.
-	if finished.Task.Index == g.counts && g.counted+1 < g.limit {
-		return
+	if finished.Task.Index != g.counts || reaches(g.replicaLimit, g.counted+1) {
+		finished.failWithoutCount()
 	}
-
-	finished.Cause = mill.FinishGangMemberLost
-	finished.MemberFailed = true
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -107,7 +107,8 @@
 // occurrences are dropped.
 type Job struct {
 	ID string `cbor:"1,keyasint"`
-	// Queue is the queue's configuration when the job was accepted.
+	// Queue is the configuration of the first queue of the name when the job was accepted. Earlier builds know no other, so
+	// that all replicas decide by its MaxAttempts when they apply entries.
 	Queue mill.Queue    `cbor:"2,keyasint"`
 	Work  mill.Workload `cbor:"3,keyasint"`
 	// UnixMilli is when the job was received, by the proposer's wall clock.
@@ -130,6 +131,39 @@
 	Tenant string `cbor:"13,keyasint,omitempty"`
 	// BeyondShare means that the tenant had submitted more than its share when the job was accepted.
 	BeyondShare bool `cbor:"14,keyasint,omitempty"`
+	// Route is the configuration of the queue that the job's request has selected, if several queues have had its name; see
+	// SelectedQueue.
+	Route *mill.Queue `cbor:"15,keyasint,omitempty"`
+}
+
+// SelectedQueue returns the configuration, when the job was accepted, of the queue that its request has selected.
+func (j *Job) SelectedQueue() *mill.Queue {
+	if j.Route != nil {
+		return j.Route
+	}
+
+	return &j.Queue
+}
+
+// CurrentQueue returns the job's queue as a setup configures it, or as it was when the job was accepted if the setup does
+// not have it. A queue that has moved to another host or prefix is found by its name if no other has had that name.
+func (j *Job) CurrentQueue(setup *mill.SetupIndex) *mill.Queue {
+	selected := j.SelectedQueue()
+
+	named, found := setup.Queue(selected.Name)
+	if found && named.Key() == selected.Key() {
+		return named
+	}
+
+	if current, ok := setup.Route(selected.Key()); ok {
+		return current
+	}
+
+	if found && j.Route == nil {
+		return named
+	}
+
+	return selected
 }
 
 // State returns the job's state as callers see it.
--- a/internal/jobs/outcome.go
+++ b/internal/jobs/outcome.go
@@ -50,7 +50,7 @@
 	}
 
 	outcome := Outcome{
-		Job: job.ID, Queue: job.Queue.Name, State: job.Outcome, Reason: reason, MaxAttempts: job.Queue.MaxAttempts,
+		Job: job.ID, Queue: job.Queue.Name, State: job.Outcome, Reason: reason, MaxAttempts: job.SelectedQueue().MaxAttempts,
 	}
 
 	if decider != nil {
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -63,6 +63,25 @@
 	s.stored.Setup = setup
 	s.index = mill.NewSetupIndex(setup)
 	s.forgetQueues()
+	s.keepRoutes()
+}
+
+// keepRoutes records the queues of jobs whose names several queues have from now on. A later setup may have only another one
+// of that name, which is not theirs.
+func (s *State) keepRoutes() {
+	if !s.index.HasSharedNames() {
+		return
+	}
+
+	for _, job := range s.stored.Jobs {
+		if job.Route != nil || !s.index.SharesName(job.Queue.Name) {
+			continue
+		}
+
+		if _, ok := s.index.Route(job.Queue.Key()); ok {
+			job.Route = &job.Queue
+		}
+	}
 }
 
 // Job returns the job with that id.
@@ -156,6 +175,8 @@
 		}
 	}
 
+	next.keepRoutes()
+
 	*s = *next
 
 	return nil
@@ -196,6 +217,7 @@
 
 		Tenant:      submit.Tenant,
 		BeyondShare: submit.BeyondShare,
+		Route:       s.selectRoute(submit.Route, queue),
 	}
 
 	if job.Work.Repeat.Times == 0 {
@@ -208,6 +230,25 @@
 	return ResultApplied
 }
 
+// selectRoute returns the queue of a new job if it is not certain to be the first one of its name, as which earlier builds
+// take it; else nil.
+func (s *State) selectRoute(selected *SelectedRoute, first *mill.Queue) *mill.Queue {
+	if selected == nil {
+		return nil
+	}
+
+	queue, ok := s.index.Route(mill.RouteKey{Host: selected.Host, Prefix: selected.Prefix})
+
+	switch {
+	case !ok:
+		return selected.Queue
+	case queue == first && !s.index.SharesName(first.Name):
+		return nil
+	default:
+		return queue
+	}
+}
+
 func (s *State) cancel(cancel *Cancel) Result {
 	job, ok := s.stored.Jobs[cancel.Job]
 	if !ok {
@@ -334,7 +375,7 @@
 }
 
 // taskFailed counts a failed run, and fails the job if there are too many. All builds must decide the same here, so a failed
-// run that must not count is committed in another way; see GangRun.
+// run that must not count is committed in another way; see GangRun and TaskRun.
 func (s *State) taskFailed(job *Job, finished *Finish, step *Step, task *Task) {
 	task.Failures++
 	job.recordFailure(finished, step, task)
@@ -363,7 +404,7 @@
 		task.FailedOn = append(task.FailedOn, task.Worker)
 	}
 
-	if spec.Gang && j.Queue.MaxAttempts > 0 {
+	if spec.Gang && j.SelectedQueue().MaxAttempts > 0 {
 		step.recordFailedRun(finished.Run)
 		step.recordAttempts(finished.Attempts)
 	}
@@ -427,12 +468,12 @@
 	delete(s.open, id)
 }
 
-// Pending returns the number of the queue's unfinished jobs of which no run may have started.
-func (s *State) Pending(queue string) int {
+// Pending returns the number of unfinished jobs, of a queue of the setup in force, of which no run may have started.
+func (s *State) Pending(queue *mill.Queue) int {
 	count := 0
 
 	for _, job := range s.open {
-		if job.Queue.Name == queue && !job.MayHaveStarted && !job.Finished() {
+		if !job.MayHaveStarted && !job.Finished() && job.CurrentQueue(s.index) == queue {
 			count++
 		}
 	}
--- a/internal/jobs/state_test.go
+++ b/internal/jobs/state_test.go
@@ -31,6 +31,16 @@
 	return s
 }
 
+// queueNamed returns the first queue of a name.
+func queueNamed(t *testing.T, s *State, name string) *mill.Queue {
+	t.Helper()
+
+	queue, ok := s.SetupIndex().Queue(name)
+	assert.Assert(t, ok)
+
+	return queue
+}
+
 // taskRecord is the model's expectation of one task.
 type taskRecord struct {
 	run    int
@@ -397,13 +407,13 @@
 	task := mill.StepID{Job: "j"}.Task(0)
 
 	s.Apply(&Command{Submit: &Submit{Job: "j", Queue: "a", Work: mill.Workload{Steps: []mill.Step{{Count: 1}}}}})
-	assert.Equal(t, s.Pending("a"), 1)
+	assert.Equal(t, s.Pending(queueNamed(t, s, "a")), 1)
 
 	s.Apply(&Command{Place: &Place{Task: task, Run: 1, Worker: "w"}})
-	assert.Equal(t, s.Pending("a"), 0)
+	assert.Equal(t, s.Pending(queueNamed(t, s, "a")), 0)
 
 	s.Apply(&Command{Finish: &Finish{Task: task, Run: 1, Cause: mill.FinishNotStarted}})
-	assert.Equal(t, s.Pending("a"), 1)
+	assert.Equal(t, s.Pending(queueNamed(t, s, "a")), 1)
 }
 
 // TestOldestOutcomesAreForgotten checks that the number of finished jobs is limited, and that no open
--- a/internal/lead/backlog.go
+++ b/internal/lead/backlog.go
@@ -63,19 +63,12 @@
 	return found
 }
 
-// newCandidate returns a step with its queue as configured now, or as configured at submission if
-// the queue no longer exists.
+// newCandidate returns a step with its queue as configured now; see jobs.Job.CurrentQueue.
 func (s *Scheduler) newCandidate(job *jobs.Job, setup *mill.SetupIndex, id mill.StepID) *candidate {
-	queue := &job.Queue
-
-	if current, ok := setup.Queue(queue.Name); ok {
-		queue = current
-	}
-
 	return &candidate{
 		id:            id,
 		job:           job,
-		queue:         queue,
+		queue:         job.CurrentQueue(setup),
 		step:          &job.Work.Steps[id.Step],
 		tenant:        s.tenantOf(job),
 		deliveryDelay: commitDelay + s.bounds.MaxDeliveryDelay,
--- a/internal/lead/failed_gang_test.go
+++ b/internal/lead/failed_gang_test.go
@@ -117,7 +117,7 @@
 // TestGangThatFailsInAnotherMemberEachTimeIsFailed guards against attempts that count for single members of a gang.
 func TestGangThatFailsInAnotherMemberEachTimeIsFailed(t *testing.T) {
 	sim := newSimulation(t, nil, 6)
-	attempts := sim.state.Setup().Queues[0].MaxAttempts
+	attempts := simSetup().Queues[0].MaxAttempts
 	sim.submit(gangJob, "free", time.Second, gangStep(attempts, simCapacity))
 
 	for run := range attempts {
--- a/internal/lead/finish.go
+++ b/internal/lead/finish.go
@@ -30,6 +30,8 @@
 
 	if f.run.gang != nil {
 		f.run.gang.attempt.Amend(finished)
+	} else {
+		f.run.attempt.Amend(finished)
 	}
 
 	return finished
--- a/internal/lead/occurrences_test.go
+++ b/internal/lead/occurrences_test.go
@@ -24,7 +24,7 @@
 	}
 	sim.specs["repeated"] = &jobSpec{work: work, queue: "free", duration: duration}
 	sim.state.Apply(&jobs.Command{Submit: &jobs.Submit{
-		Job: "repeated", Queue: "free", Work: work, UnixMilli: sim.now.UnixMilli(),
+		Job: "repeated", Queue: "free", Work: work, UnixMilli: sim.now.UnixMilli(), Route: sim.route("free"),
 	}})
 
 	started := make(map[int]time.Duration)
--- a/internal/lead/pending_test.go
+++ b/internal/lead/pending_test.go
@@ -46,5 +46,7 @@
 
 	job, _ := state.Job("job")
 	assert.Equal(t, job.Placed, 0)
-	assert.Equal(t, state.Pending("free"), 1)
+
+	queue, _ := state.SetupIndex().Queue("free")
+	assert.Equal(t, state.Pending(queue), 1)
 }
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -305,6 +305,8 @@
 		r.resumeFrom = gangCheckpoint(c.state)
 		r.checkpoint = r.resumeFrom
 		s.joinGang(r, c.job, c.state)
+	} else {
+		r.attempt = jobs.NewTaskRun(c.job, r.task, task)
 	}
 
 	if c.advice != nil {
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -84,6 +85,8 @@
 	paceSentAt    time.Time
 	// failedBefore says that an earlier run of the task has failed.
 	failedBefore bool
+	// attempt decides how the end of a run that is in no gang is committed; nil if it is committed as it is.
+	attempt *jobs.TaskRun
 	// gang is what the run shares with the other members of its gang; nil for a task that is in none.
 	gang *gangRun
 }
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -177,6 +177,8 @@
 
 	if step.Gang {
 		s.joinGang(r, job, &job.Occurrences[id.Occurrence].Steps[id.Step])
+	} else {
+		r.attempt = jobs.NewTaskRun(job, id, task)
 	}
 
 	r.worker.mayHoldInherited = true
--- a/internal/lead/simulation_test.go
+++ b/internal/lead/simulation_test.go
@@ -159,7 +159,12 @@
 	sim.standstill = standstillCheck{sim: sim, lastRan: make(map[mill.TaskID]time.Time), asking: make(map[string]bool)}
 
 	sim.tenants.sim = sim
-	sim.configure(simSetup())
+	// Jobs must not run as those of the first queue of the name.
+	setup := simSetup()
+	namesake := setup.Queues[0]
+	namesake.Host, namesake.Service, namesake.MaxAttempts = "other", "annex", 2
+	setup.Queues = slices.Insert(setup.Queues, 0, namesake)
+	sim.configure(setup)
 
 	for i := range executors {
 		sim.addExecutor(i)
@@ -236,11 +241,17 @@
 }
 
 func (sim *simulation) queue(job string) *mill.Queue {
-	queue, _ := sim.state.SetupIndex().Queue(sim.specs[job].queue)
+	route := sim.route(sim.specs[job].queue)
+	queue, _ := sim.state.SetupIndex().Route(mill.RouteKey{Host: route.Host, Prefix: route.Prefix})
 
 	return queue
 }
 
+// route returns what a submission to the queue of simSetup with that name tells of it.
+func (sim *simulation) route(queue string) *jobs.SelectedRoute {
+	return &jobs.SelectedRoute{Host: "h", Prefix: "/" + queue + "/"}
+}
+
 // newLeader replaces the leader. What the old leader has proposed is committed up to some entry,
 // and the rest is lost.
 func (sim *simulation) newLeader() {
@@ -492,7 +503,7 @@
 	sim.specs[id] = &jobSpec{work: work, queue: queue, duration: duration, tenant: sim.nextTenant}
 	sim.state.Apply(&jobs.Command{Submit: &jobs.Submit{
 		Job: id, Queue: queue, Work: work, UnixMilli: sim.now.UnixMilli(), Tenant: sim.nextTenant,
-		BeyondShare: sim.nextBeyondShare,
+		BeyondShare: sim.nextBeyondShare, Route: sim.route(queue),
 	}})
 }
 
--- a/internal/plan/share_meter.go
+++ b/internal/plan/share_meter.go
@@ -62,7 +62,8 @@
 // Configure applies a setup, and drops what is known of tenants that it does not name. It costs nothing for the setup that
 // was applied last.
 func (m *ShareMeter) Configure(setup *mill.Setup) {
-	if m.setup == setup {
+	// A submission that was looked up before a change of the setup may be admitted after it.
+	if m.setup == setup || m.setup != nil && setup.Version < m.setup.Version {
 		return
 	}
 
--- a/pkg/mill/setup.go
+++ b/pkg/mill/setup.go
@@ -30,6 +30,17 @@
 	Public bool `cbor:",omitempty"`
 }
 
+// RouteKey selects a queue: no two queues of a setup share one, while names need not be unique.
+type RouteKey struct {
+	Host   string
+	Prefix string
+}
+
+// Key returns what selects the queue.
+func (q *Queue) Key() RouteKey {
+	return RouteKey{Host: q.Host, Prefix: q.Prefix}
+}
+
 // AdvicePolicy is the time that a request for advice takes, as a base and an amount per worker, and
 // how long the advice is valid.
 type AdvicePolicy struct {
@@ -77,7 +88,7 @@
 
 // Validate returns ErrInvalid naming the first error found.
 func (s *Setup) Validate() error {
-	routes := make(map[[2]string]string, len(s.Queues))
+	routes := make(map[RouteKey]string, len(s.Queues))
 	services := make(map[string]bool, len(s.Services))
 
 	for i := range s.Services {
@@ -95,12 +106,11 @@
 			return merry.Prependf(ErrInvalid, "queue %q: timeout %s: want more than 0", q.Name, q.Timeout)
 		}
 
-		route := [2]string{q.Host, q.Prefix}
-		if other, ok := routes[route]; ok {
+		if other, ok := routes[q.Key()]; ok {
 			return merry.Prependf(ErrInvalid, "queues %q and %q share host %q and prefix %q", other, q.Name, q.Host, q.Prefix)
 		}
 
-		routes[route] = q.Name
+		routes[q.Key()] = q.Name
 	}
 
 	return s.validateTenants()
--- a/pkg/mill/setup_index.go
+++ b/pkg/mill/setup_index.go
@@ -9,8 +9,11 @@
 // SetupIndex finds the parts of a setup without going through all of them. Its zero value is that of an empty setup.
 type SetupIndex struct {
 	// routes holds the queues of each host, those with the longest prefix first.
-	routes   map[string][]*Queue
+	routes map[string][]*Queue
+	// byKey holds the queues by what selects them, queues the first one of each name, and shared the names of several.
+	byKey    map[RouteKey]*Queue
 	queues   map[string]*Queue
+	shared   map[string]bool
 	services map[string]*Service
 	tenants  map[string]*Tenant
 	keys     map[KeyDigest]*Tenant
@@ -20,7 +23,9 @@
 func NewSetupIndex(setup *Setup) *SetupIndex {
 	x := &SetupIndex{
 		routes:   make(map[string][]*Queue),
+		byKey:    make(map[RouteKey]*Queue, len(setup.Queues)),
 		queues:   make(map[string]*Queue, len(setup.Queues)),
+		shared:   make(map[string]bool),
 		services: make(map[string]*Service, len(setup.Services)),
 		tenants:  make(map[string]*Tenant, len(setup.Tenants)),
 		keys:     make(map[KeyDigest]*Tenant),
@@ -29,6 +34,12 @@
 	for i := range setup.Queues {
 		q := &setup.Queues[i]
 		x.routes[q.Host] = append(x.routes[q.Host], q)
+		addFirst(x.byKey, q.Key(), q)
+
+		if _, ok := x.queues[q.Name]; ok {
+			x.shared[q.Name] = true
+		}
+
 		addFirst(x.queues, q.Name, q)
 	}
 
@@ -72,7 +83,24 @@
 	return nil, "", false
 }
 
-// Queue returns the queue with that name.
+// Route returns the queue with that host and prefix.
+func (x *SetupIndex) Route(key RouteKey) (*Queue, bool) {
+	q, ok := x.byKey[key]
+
+	return q, ok
+}
+
+// SharesName reports whether several queues have that name.
+func (x *SetupIndex) SharesName(name string) bool {
+	return x.shared[name]
+}
+
+// HasSharedNames reports whether any two queues share a name.
+func (x *SetupIndex) HasSharedNames() bool {
+	return len(x.shared) > 0
+}
+
+// Queue returns the first queue with that name.
 func (x *SetupIndex) Queue(name string) (*Queue, bool) {
 	q, ok := x.queues[name]
 
--- a/pkg/mill/setup_test.go
+++ b/pkg/mill/setup_test.go
@@ -47,12 +47,17 @@
 
 		if want != nil {
 			assert.Equal(t, want.Prefix+rest, wantedPath)
+
+			route, ok := index.Route(want.Key())
+			assert.Assert(t, ok)
+			assert.Equal(t, route, want)
 		}
 
 		for i := range setup.Queues {
 			named, ok := index.Queue(setup.Queues[i].Name)
 			assert.Assert(t, ok)
 			assert.Equal(t, named, &setup.Queues[i%8], "the first queue of a name counts")
+			assert.Equal(t, index.SharesName(named.Name), i%8+8 < len(setup.Queues))
 		}
 	})
 }
