Check a setup against that in force at a core process

A process that does not answer, has no setup yet, or is no control port gives an error that says so, and exit code 2.

Tried with a store of one process on loopback: without a setup, with one, at its metrics port, at a closed port.

--- a/internal/cmds/cmd_platform_check.go
+++ b/internal/cmds/cmd_platform_check.go
@@ -14,17 +14,21 @@
 	"github.com/cranberrymill/cranberrymill/platform"
 )
 
+// errNotRead means that a core process has not told the setup in force, so that the check was not made.
+var errNotRead = merry.Sentinel("setup in force not read")
+
 // errWarnings means that a check has found nothing worse than warnings.
 var errWarnings = merry.Sentinel("warnings")
 
 func cmdPlatformCheck() command {
 	return command{
 		name: "platform check",
-		help: "Check a setup of the users' platform without contacting any process. Exit codes: 0 fine, 1 errors, " +
-			"2 file not readable, 3 warnings only.",
+		help: "Check a setup of the users' platform before it is sent. Exit codes: 0 fine, 1 errors, " +
+			"2 a setup could not be read, 3 warnings only.",
 		setup: func(clause *kingpin.CmdClause) action {
 			file := clause.Arg("file", "Setup to check, as it is sent to the server.").Required().String()
-			against := clause.Flag("against", "Setup in force, to list the differences.").String()
+			against := clause.Flag("against", "Setup in force, to list the differences: a file, or the control address "+
+				"(host:port) of a core process.").String()
 			asJSON := clause.Flag("json", "Print the report as JSON.").Bool()
 
 			return func(context.Context) error {
@@ -43,7 +47,7 @@
 	var inForce []byte
 
 	if against != "" {
-		if inForce, err = readSetup(against); err != nil {
+		if inForce, err = readSetupInForce(against); err != nil {
 			return err
 		}
 	}
@@ -73,6 +77,20 @@
 	return document, nil
 }
 
+// readSetupInForce reads the setup from a file, or from a core process if there is no such file.
+func readSetupInForce(against string) ([]byte, error) {
+	if _, err := os.Stat(against); err != nil && platform.IsAddress(against) {
+		document, err := platform.FetchSetup(against)
+		if err != nil {
+			return nil, merry.Apply(errNotRead, merry.WithMessage(err.Error()))
+		}
+
+		return document, nil
+	}
+
+	return readSetup(against)
+}
+
 func printReport(output io.Writer, report *platform.SetupReport, asJSON bool) error {
 	if asJSON {
 		encoder := json.NewEncoder(output)
--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -92,7 +92,7 @@
 	line := strings.ReplaceAll(err.Error(), "\n", "; ")
 	_, _ = fmt.Fprintln(output, "cranberrymill: "+line)
 
-	if errors.Is(err, mill.ErrInvalid) || errors.Is(err, mill.ErrLocked) {
+	if errors.Is(err, mill.ErrInvalid) || errors.Is(err, mill.ErrLocked) || errors.Is(err, errNotRead) {
 		return exitUsage
 	}
 
