--- a/internal/lead/bench_test.go
+++ b/internal/lead/bench_test.go
@@ -14,48 +14,52 @@
 // wait for an advisor that answers few requests at a time.
 func BenchmarkNextAdvised(b *testing.B) {
 	for _, workers := range []int{48, 350, 1100, 4400} {
-		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			state, scheduler := benchmarkPool(workers)
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) { benchmarkAsking(b, workers, 600, 49) })
+	}
+}
 
-			for i := range 49 {
-				scheduler.AdvisorReachable(fmt.Sprintf("front%d", i), simStart)
-			}
+func benchmarkAsking(b *testing.B, workers, waiting, callers int) {
+	b.Helper()
 
-			for i := range 600 {
-				benchmarkSubmit(state, fmt.Sprintf("wait%d", i), "advised", 10, 1000)
-			}
+	state, scheduler := benchmarkPool(workers)
 
-			b.ReportAllocs()
+	for i := range callers {
+		scheduler.AdvisorReachable(fmt.Sprintf("front%d", i), simStart)
+	}
 
-			for b.Loop() {
-				scheduler.Next(simStart, simStart.UnixMilli(), state)
-			}
-		})
+	for i := range waiting {
+		benchmarkSubmit(state, fmt.Sprintf("wait%d", i), "advised", 10, 1000)
+	}
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		scheduler.Next(simStart, simStart.UnixMilli(), state)
 	}
 }
 
 // BenchmarkNextFull measures one plan on a full pool while hundreds of steps wait.
 func BenchmarkNextFull(b *testing.B) {
 	for _, workers := range []int{48, 350, 4400} {
-		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) { benchmarkNext(b, workers) })
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) { benchmarkFull(b, workers, 400) })
 	}
 }
 
-func benchmarkNext(b *testing.B, workers int) {
+func benchmarkFull(b *testing.B, workers, waiting int) {
 	b.Helper()
 
 	state, scheduler := benchmarkPool(workers)
-	benchmarkFull(b, state, scheduler, workers)
+	benchmarkFullPool(b, state, scheduler, workers, waiting)
 }
 
-// benchmarkFull measures plans while a job fills all workers and others wait.
-func benchmarkFull(b *testing.B, state *jobs.State, scheduler *Scheduler, workers int) {
+// benchmarkFullPool measures plans while a job fills all workers and others wait.
+func benchmarkFullPool(b *testing.B, state *jobs.State, scheduler *Scheduler, workers, waiting int) {
 	b.Helper()
 
 	benchmarkSubmit(state, "full", "free", 2*workers, 2000)
 	scheduler.Next(simStart, simStart.UnixMilli(), state)
 
-	for i := range 400 {
+	for i := range waiting {
 		benchmarkSubmit(state, fmt.Sprintf("wait%d", i), "free", 10, 2000)
 	}
 
@@ -79,7 +83,7 @@
 
 	setup.Queues = append(filler, setup.Queues...)
 	state.Apply(&jobs.Command{Setup: &setup})
-	benchmarkFull(b, state, scheduler, 48)
+	benchmarkFullPool(b, state, scheduler, 48, 400)
 }
 
 // benchmarkPool returns a scheduler with the given number of idle workers.
--- a/internal/lead/overdue_bench_test.go
+++ b/internal/lead/overdue_bench_test.go
@@ -13,14 +13,25 @@
 // that have had nothing running for long wait for the full ones: the others have another label, or the advisor refuses them.
 func BenchmarkNextOverdue(b *testing.B) {
 	for _, queue := range []string{"free", "advised"} {
-		b.Run(queue, func(b *testing.B) { benchmarkOverdue(b, queue) })
+		b.Run(queue, func(b *testing.B) { benchmarkOverdue(b, queue, 350, 600, 49) })
 	}
 }
 
-func benchmarkOverdue(b *testing.B, queue string) {
-	b.Helper()
+// BenchmarkNextBacklog measures one plan with 4,400 workers and 5,000 waiting steps: on a full pool, on one in which every
+// second worker is full (see BenchmarkNextOverdue), and on an idle one while the steps wait for an advisor.
+func BenchmarkNextBacklog(b *testing.B) {
+	const workers, waiting, callers = 4400, 5000, 150
+
+	b.Run("full", func(b *testing.B) { benchmarkFull(b, workers, waiting) })
+	b.Run("asking", func(b *testing.B) { benchmarkAsking(b, workers, waiting, callers) })
 
-	const workers, waiting, callers = 350, 600, 49
+	for _, queue := range []string{"free", "advised"} {
+		b.Run("overdue="+queue, func(b *testing.B) { benchmarkOverdue(b, queue, workers, waiting, callers) })
+	}
+}
+
+func benchmarkOverdue(b *testing.B, queue string, workers, waiting, callers int) {
+	b.Helper()
 
 	state, scheduler := benchmarkPool(workers)
 	now := simStart
