Look at workers without room for a size of task once in a plan

Each step that waits for the advisor looked at all workers of its pool up to four times, with a look-up by id in the step's tickets and answers for each. A plan now keeps for each size of task (32 at the most in a pool) which workers have room, and drops those that it finds without any: room only shrinks during a plan. Workers that the advisor allows are found by the sets of indexes instead of ids. Nothing is kept between plans, and the order of the workers is the same.

--- a/internal/lead/advice_reserve.go
+++ b/internal/lead/advice_reserve.go
@@ -1,7 +1,9 @@
 package lead
 
 import (
+	"iter"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cranberrymill/cranberrymill/internal/plan"
@@ -22,14 +24,14 @@
 		return
 	}
 
-	workers := s.adviceTargets(c, p)
+	allowed, targets := s.adviceTargets(c, p)
 	count := len(c.waiting)
 
-	if s.reserveOn(c, count, p, workers, func(w *worker) bool { return c.ticketRenewable(w, p.now) }) {
+	if s.reserveOn(c, count, p, allowed, func(w *worker) bool { return c.ticketRenewable(w, p.now) }) {
 		return
 	}
 
-	s.reserveOn(c, count, p, workers, func(w *worker) bool { return c.notRefused(w, p.now) })
+	s.reserveOn(c, count, p, targets, func(w *worker) bool { return c.notRefused(w, p.now) })
 }
 
 // takeReservation reports whether the pass may look for capacity for a step before the advisor is asked about it. Steps with
@@ -51,7 +53,9 @@
 
 // reserveOn reserves capacity for a number of tasks on those workers that pass the filter, and reports whether the step
 // fits on them.
-func (s *Scheduler) reserveOn(c *candidate, count int, p *pass, among []*worker, filter func(w *worker) bool) bool {
+func (s *Scheduler) reserveOn(
+	c *candidate, count int, p *pass, among iter.Seq[*worker], filter func(w *worker) bool,
+) bool {
 	described, workers := s.eligibleWorkers(c, among, filter, c.reservationWidth(s.adviceNames(c)))
 
 	chosen := plan.PlaceTasks(described, c.demand(), count, s.placer, nil)
@@ -83,21 +87,31 @@
 	return names
 }
 
-// adviceTargets returns the workers on which capacity may be reserved: those named in the
-// outstanding request, or else the whole pool.
-func (s *Scheduler) adviceTargets(c *candidate, p *pass) []*worker {
-	if !c.advice.requestPending {
-		return p.pool(c).fitting(c)
+// adviceTargets returns the workers on which capacity may be reserved, those named in the outstanding request, or else the
+// whole pool, and among them those that the advisor is known to allow, and perhaps others.
+func (s *Scheduler) adviceTargets(c *candidate, p *pass) (allowed, targets iter.Seq[*worker]) {
+	if c.advice.requestPending {
+		targets = slices.Values(s.acceptingWorkers(c, c.advice.requested, p.now))
+
+		return targets, targets
+	}
+
+	pool := p.pool(c)
+	targets = pool.eachUnreserved(c, s.workersByIndex)
+
+	known := pool.fittingFor(c, s.workersByIndex)
+	if known == nil || c.advice.unlisted || len(pool.workers) == 0 {
+		return targets, targets
 	}
 
-	return s.acceptingWorkers(c, c.advice.requested, p.now)
+	return slices.Values(known.among(pool.byFreeCapacity(c), c.advice.allowed)), targets
 }
 
 // ticketRenewable reports whether the advisor is known to allow the worker, so that only its ticket
 // has to be renewed. A gang's tickets have to be valid for all members at once, so for a gang valid
 // tickets are renewed too.
 func (c *candidate) ticketRenewable(w *worker, now time.Time) bool {
-	allowed, valid := c.allows(w.status.ID, now)
+	allowed, valid := c.allowsOn(w, now)
 
 	return allowed && (!valid || c.step.Gang)
 }
@@ -109,7 +123,7 @@
 		return true
 	}
 
-	allowed, _ := c.allows(w.status.ID, now)
+	allowed, _ := c.allowsOn(w, now)
 
-	return !allowed && !c.advice.answeredFor[w.status.ID]
+	return !allowed && !c.advice.answered.has(w.index)
 }
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -26,8 +27,10 @@
 	// holders lists the workers with a ticket, which may have expired.
 	holders []string
 	// answered and allowed hold the workers of answeredFor and of holders that the scheduler knows.
-	answered       workerSet
-	allowed        workerSet
+	answered workerSet
+	allowed  workerSet
+	// unlisted says that there are tickets of workers that the advisor was not asked about, which allowed may lack.
+	unlisted       bool
 	requestPending bool
 	// validUntil is the latest time until which any ticket is valid.
 	validUntil time.Time
@@ -43,6 +46,7 @@
 func (a *advice) add(worker string, t ticket) {
 	if _, ok := a.tickets[worker]; !ok {
 		a.holders = append(a.holders, worker)
+		a.unlisted = a.unlisted || !a.answeredFor[worker]
 	}
 
 	a.tickets[worker] = t
@@ -52,6 +56,15 @@
 	}
 }
 
+// expire marks a worker's ticket as expired. The worker stays allowed.
+func (a *advice) expire(worker string) {
+	if _, ok := a.tickets[worker]; !ok {
+		a.unlisted = true
+	}
+
+	a.tickets[worker] = ticket{}
+}
+
 // know adds a worker to the sets of those that the advisor has answered for and allows.
 func (a *advice) know(w *worker) {
 	if a.answeredFor[w.status.ID] {
@@ -184,12 +197,12 @@
 // pass the filter, together with their descriptions for package plan; a nil filter passes all. The results
 // are valid until the next call.
 func (s *Scheduler) eligibleWorkers(
-	c *candidate, workers []*worker, filter func(w *worker) bool, limit int,
+	c *candidate, workers iter.Seq[*worker], filter func(w *worker) bool, limit int,
 ) (described []plan.CandidateWorker, eligible []*worker) {
 	described, eligible = s.describedBuffer[:0], s.eligibleBuffer[:0]
 	perTask := c.step.Reserves()
 
-	for _, w := range workers {
+	for w := range workers {
 		if len(eligible) == limit {
 			break
 		}
@@ -236,9 +249,18 @@
 	return true, found.validUntil.After(now.Add(c.deliveryDelay))
 }
 
+// allowsOn is allows for a worker that the scheduler knows, without a look-up by its id if the advisor does not allow it.
+func (c *candidate) allowsOn(w *worker, now time.Time) (allowed, valid bool) {
+	if c.queue.Advice != nil && !c.advice.unlisted && !c.advice.allowed.has(w.index) {
+		return false, false
+	}
+
+	return c.allows(w.status.ID, now)
+}
+
 // allowsEver reports whether the advisor is known to allow a worker, with a valid ticket or without.
 func (c *candidate) allowsEver(w *worker) bool {
-	allowed, _ := c.allows(w.status.ID, c.now)
+	allowed, _ := c.allowsOn(w, c.now)
 
 	return allowed
 }
--- a/internal/lead/free_workers.go
+++ b/internal/lead/free_workers.go
@@ -14,7 +14,9 @@
 	entries []freeWorker
 	// dimension is the amount that the entries are sorted by first.
 	dimension func(r mill.Resources) int64
-	found     []*worker
+	// positions holds the position of each worker's entry by the worker's index, from 1 on; 0 for none. It is nil until it is
+	// needed.
+	positions []int32
 }
 
 type freeWorker struct {
@@ -40,15 +42,42 @@
 	return f
 }
 
-// fitting returns the workers that a task did fit on at the start of the pass, those with the most free capacity first. The
-// result is valid until the next call.
-func (f *freeWorkers) fitting(perTask mill.Resources) []*worker {
-	f.found = f.found[:0]
-	for w := range f.eachFitting(perTask) {
-		f.found = append(f.found, w)
+// link returns the list of the entries that a task did fit on at the start of the pass; see fitting.next.
+func (f *freeWorkers) link(perTask mill.Resources) []int32 {
+	next := make([]int32, len(f.entries)+1)
+	least, before := f.dimension(perTask), int32(0)
+
+	for i, position := 0, int32(1); i < len(f.entries); i, position = i+1, position+1 {
+		if f.dimension(f.entries[i].free) < least {
+			break
+		}
+
+		if perTask.Fits(f.entries[i].free) {
+			next[before], before = position, position
+		}
+	}
+
+	return next
+}
+
+// positionsByIndex returns the position of each worker's entry by the worker's index.
+func (f *freeWorkers) positionsByIndex() []int32 {
+	if f.positions != nil {
+		return f.positions
+	}
+
+	highest := 0
+	for i := range f.entries {
+		highest = max(highest, f.entries[i].worker.index)
+	}
+
+	f.positions = make([]int32, highest+1)
+
+	for i, position := 0, int32(1); i < len(f.entries); i, position = i+1, position+1 {
+		f.positions[f.entries[i].worker.index] = position
 	}
 
-	return f.found
+	return f.positions
 }
 
 // eachFitting yields the workers that a task did fit on at the start of the pass, those with the most free capacity first.
--- a/internal/lead/overdue.go
+++ b/internal/lead/overdue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 
@@ -114,20 +115,17 @@
 
 // fitsOn reports whether a task of the step fits on some worker of a set, which is given by its words.
 func (s *Scheduler) fitsOn(c *candidate, p *pass, set func(at int) uint64) bool {
-	perTask := c.step.Reserves()
-
-	return s.eachMember(p.pool(c), set, func(w *worker) bool { return !perTask.Fits(c.room(w)) })
+	return s.eachWithRoom(c, p.pool(c), set, func(*worker) bool { return false })
 }
 
 // hasRoom reports whether there is such room on the workers of a pool that are in a set, which is given by its words.
 func (s *Scheduler) hasRoom(c *candidate, p *pass, set func(at int) uint64) bool {
 	needed := plan.RoomFactor * c.together()
-	perTask := c.step.Reserves()
 
-	return s.eachMember(p.pool(c), set, func(w *worker) bool {
+	return s.eachWithRoom(c, p.pool(c), set, func(w *worker) bool {
 		s.examinedWorkers++
 
-		if !perTask.Fits(c.room(w)) || !c.compatible(w) || w.isolatingRuns > 0 || w.tried() && !w.proven(p.now) {
+		if !c.compatible(w) || w.isolatingRuns > 0 || w.tried() && !w.proven(p.now) {
 			return true
 		}
 
@@ -137,11 +135,36 @@
 	})
 }
 
-// eachMember calls a function with each worker of a pool that is in a set, which is given by its words, until it returns
-// false, and reports whether it did.
-func (s *Scheduler) eachMember(among *pool, set func(at int) uint64, do func(w *worker) bool) bool {
-	for at, word := range among.members {
-		if !eachIndex(at, word&set(at), func(index int) bool { return do(s.workersByIndex[index]) }) {
+// eachWithRoom calls a function with each worker of a pool that is in a set, which is given by its words, and has room for a
+// task of the step, until it returns false, and reports whether it did.
+func (s *Scheduler) eachWithRoom(
+	c *candidate, among *pool, set func(at int) uint64, do func(w *worker) bool,
+) bool {
+	members, perTask := among.members, c.step.Reserves()
+
+	known := among.fittingFor(c, s.workersByIndex)
+	if known != nil {
+		members = known.free
+	}
+
+	for at, word := range members {
+		if word == 0 {
+			continue
+		}
+
+		proceed := eachIndex(at, word&set(at), func(index int) bool {
+			w := s.workersByIndex[index]
+			if perTask.Fits(c.room(w)) {
+				return do(w)
+			}
+
+			if known != nil {
+				known.recheck(w)
+			}
+
+			return true
+		})
+		if !proceed {
 			return true
 		}
 	}
@@ -149,18 +172,18 @@
 	return false
 }
 
-// usableWorkers returns the workers of a pool that had the capacity for a task of the step when the pass began.
-func (c *candidate) usableWorkers(among *pool) []*worker {
+// usableWorkers yields the workers of a pool that may have room for a task of the step.
+func (s *Scheduler) usableWorkers(c *candidate, among *pool) iter.Seq[*worker] {
 	if !c.overdue {
-		return among.fitting(c)
+		return among.eachUnreserved(c, s.workersByIndex)
 	}
 
-	return slices.Collect(among.eachOverdue(c))
+	return among.eachOverdue(c)
 }
 
 // renewAdvice has the advisor asked for new tickets of workers with room that it is known to allow.
 func (s *Scheduler) renewAdvice(c *candidate, p *pass) {
-	if p.mayRequest(c) && s.reserveOn(c, c.together(), p, c.usableWorkers(p.pool(c)), c.allowsEver) {
+	if p.mayRequest(c) && s.reserveOn(c, c.together(), p, s.usableWorkers(c, p.pool(c)), c.allowsEver) {
 		p.request(s.newAdviceRequest(c, p.nextAddress(), s.addUnknownWorkers(c, p)))
 	}
 }
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -226,13 +227,13 @@
 
 // ticketHolders returns the workers that the step can be placed on without further advice: those
 // with a valid ticket, or all of the pool if the queue needs no advice.
-func (s *Scheduler) ticketHolders(c *candidate, p *pass) []*worker {
+func (s *Scheduler) ticketHolders(c *candidate, p *pass) iter.Seq[*worker] {
 	if c.advice == nil {
-		return c.usableWorkers(p.pool(c))
+		return s.usableWorkers(c, p.pool(c))
 	}
 
 	if !c.ticketsValid(p.now) {
-		return nil
+		return slices.Values[[]*worker](nil)
 	}
 
 	ids := make([]string, 0, len(c.advice.holders))
@@ -243,7 +244,7 @@
 		}
 	}
 
-	return s.acceptingWorkers(c, ids, p.now)
+	return slices.Values(s.acceptingWorkers(c, ids, p.now))
 }
 
 func (w *worker) countTasks(step mill.StepID) int {
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -101,6 +101,8 @@
 	// it has looked for such workers.
 	reservedWorkers     int
 	reservationSearches int
+	// fittings holds which workers have room, by what a task reserves.
+	fittings map[mill.Resources]*fitting
 	// quarantined are workers that only overdue steps may try.
 	quarantined []*worker
 	// members holds the workers and the quarantined ones.
@@ -170,14 +172,18 @@
 	return p.byMilliCores
 }
 
-// fitting returns the workers that had the capacity for a task of the step when the pass began, those with the most first.
-// The result is valid until the next call.
-func (p *pool) fitting(c *candidate) []*worker {
+// eachUnreserved yields the workers that may have unreserved capacity for a task of the step, those with the most when the
+// pass began first. All workers are given by index.
+func (p *pool) eachUnreserved(c *candidate, workers []*worker) iter.Seq[*worker] {
 	if len(p.workers) == 0 {
-		return nil
+		return func(func(w *worker) bool) {}
 	}
 
-	return p.byFreeCapacity(c).fitting(c.step.Reserves())
+	if known := p.fittingFor(c, workers); known != nil {
+		return known.eachUnreserved(p.byFreeCapacity(c))
+	}
+
+	return p.byFreeCapacity(c).eachFitting(c.step.Reserves())
 }
 
 // eachFitting yields the workers that had the capacity for a task of the step when the pass began, those with the most
--- a/internal/lead/rack_wait.go
+++ b/internal/lead/rack_wait.go
@@ -114,7 +114,9 @@
 
 		return ok
 	}
-	described, workers := s.eligibleWorkers(c, p.rackWorkers(c, c.step.DataRack), valid, math.MaxInt)
+	described, workers := s.eligibleWorkers(
+		c, slices.Values(p.rackWorkers(c, c.step.DataRack)), valid, math.MaxInt,
+	)
 	chosen = plan.PlaceTasks(described, c.demand(), count, s.placer, nil)
 
 	known := s.racks.steps[c.id]
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -102,8 +102,7 @@
 		r.worker.clock = clock{}
 	case mill.OutcomeNoTicket:
 		if a, ok := s.advice[r.task.StepID]; ok {
-			// The worker stays allowed, but its ticket has to be renewed.
-			a.tickets[r.worker.status.ID] = ticket{}
+			a.expire(r.worker.status.ID)
 		}
 	case mill.OutcomeUnhealthy:
 		r.worker.health.DelayTry(now)
--- a/internal/lead/worker_set.go
+++ b/internal/lead/worker_set.go
@@ -16,6 +16,16 @@
 	(*s)[index/wordBits] |= 1 << (index % wordBits)
 }
 
+// remove removes the worker with an index, which the set holds.
+func (s workerSet) remove(index int) {
+	s[index/wordBits] &^= 1 << (index % wordBits)
+}
+
+// has reports whether the set holds the worker with an index.
+func (s workerSet) has(index int) bool {
+	return s.word(index/wordBits)&(1<<(index%wordBits)) != 0
+}
+
 // word returns the part of the set that holds the indexes from at*wordBits on.
 func (s workerSet) word(at int) uint64 {
 	if at >= len(s) {
