Build and sort the steps of a plan with fewer look-ups

Each waiting task was looked up in the runs, also of jobs that have none; the scheduler now counts the runs of each job. The order of a plan computed the class and slack of two steps for each comparison of a stable merge sort; they are now computed once for each step, and equal steps are kept in order by their position. Slices of one step and of the path through a few steps are not allocated any more.

--- a/internal/lead/backlog.go
+++ b/internal/lead/backlog.go
@@ -55,7 +55,7 @@
 			if c.waiting = s.waitingTasks(c); len(c.waiting) > 0 {
 				c.urgency = s.newUrgency(c, occurrence, wallMilli)
 				c.advice = s.adviceFor(c)
-				found = append(found, c.splitSuspected()...)
+				found = c.appendSplit(found)
 			}
 		}
 	}
@@ -86,14 +86,18 @@
 // waitingTasks returns the indexes of the tasks that have no run. A gang is placed as a whole, so
 // it is returned only when all its tasks wait. It notes whether placements are being committed.
 func (s *Scheduler) waitingTasks(c *candidate) []int {
-	var waiting []int
+	pending := len(c.state.Tasks) - c.state.Done - c.state.Placed
+	waiting := make([]int, 0, max(0, pending))
+	mayHaveRun := s.runsByJob[c.id.Job] > 0
 
 	for index := range c.state.Tasks {
-		if c.state.Tasks[index].Phase != jobs.TaskPending {
+		if pending < len(c.state.Tasks) && c.state.Tasks[index].Phase != jobs.TaskPending {
 			continue
 		}
 
-		if _, hasRun := s.runs[c.id.Task(index)]; hasRun {
+		if !mayHaveRun {
+			waiting = append(waiting, index)
+		} else if _, hasRun := s.runs[c.id.Task(index)]; hasRun {
 			c.beingPlaced = true
 		} else {
 			waiting = append(waiting, index)
--- a/internal/lead/crash.go
+++ b/internal/lead/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cranberrymill/cranberrymill/internal/plan"
@@ -96,44 +97,44 @@
 	r.proven = true
 }
 
-// splitSuspected returns the step's unsuspected tasks as one candidate, and each suspected one as another, so that they
-// go to different workers. A gang is not split: all its tasks are suspected if one is.
-func (c *candidate) splitSuspected() []*candidate {
-	var trusted, suspected []int
-
-	for _, index := range c.waiting {
-		if c.state.Tasks[index].Suspicion > 0 {
-			suspected = append(suspected, index)
-		} else {
-			trusted = append(trusted, index)
-		}
-	}
+// appendSplit appends the step's unsuspected tasks as one candidate, and each suspected one as another, so that they go to
+// different workers. A gang is not split: all its tasks are suspected if one is.
+func (c *candidate) appendSplit(found []*candidate) []*candidate {
+	isSuspected := func(index int) bool { return c.state.Tasks[index].Suspicion > 0 }
 
-	if len(suspected) == 0 {
-		return []*candidate{c}
+	if !slices.ContainsFunc(c.waiting, isSuspected) {
+		return append(found, c)
 	}
 
 	if c.step.Gang {
 		c.suspected = true
 
-		return []*candidate{c}
+		return append(found, c)
 	}
 
-	split := make([]*candidate, 0, 1+len(suspected))
+	var trusted, suspected []int
+
+	for _, index := range c.waiting {
+		if isSuspected(index) {
+			suspected = append(suspected, index)
+		} else {
+			trusted = append(trusted, index)
+		}
+	}
 
 	if len(trusted) > 0 {
 		c.waiting = trusted
-		split = append(split, c)
+		found = append(found, c)
 	}
 
 	for _, index := range suspected {
 		single := *c
 		single.waiting = []int{index}
 		single.suspected = true
-		split = append(split, &single)
+		found = append(found, &single)
 	}
 
-	return split
+	return found
 }
 
 // isolate returns a filter for the workers of a suspected step: those on which no other run can cause a crash, so that
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -341,13 +341,21 @@
 func (sim *simulation) checkIndexes(s *Scheduler) {
 	sim.tenants.checkUse(s)
 
+	runsByJob := make(map[string]int)
+
 	for _, r := range s.runs {
+		runsByJob[r.task.Job]++
+
 		due := r.cause == "" && (r.stopping || r.phase == runStarting)
 		if _, listed := s.ordersDue[r]; due && !listed {
 			sim.t.Fatalf("%s: task %s run %d waits for an order and is not listed", sim.elapsed(), r.task, r.number)
 		}
 	}
 
+	if !maps.Equal(runsByJob, s.runsByJob) {
+		sim.t.Fatalf("%s: the counts of runs are %v instead of %v", sim.elapsed(), s.runsByJob, runsByJob)
+	}
+
 	sorted := slices.SortedFunc(maps.Values(s.workers), byID)
 	if !slices.Equal(sorted, s.workersByID()) {
 		sim.t.Fatalf("%s: the sorted workers are out of date", sim.elapsed())
--- a/internal/lead/overdue.go
+++ b/internal/lead/overdue.go
@@ -145,6 +145,10 @@
 	known := among.fittingFor(c, s.workersByIndex)
 	if known != nil {
 		members = known.free
+
+		if known.count == 0 {
+			return false
+		}
 	}
 
 	for at, word := range members {
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -25,6 +25,8 @@
 	// runs holds the runs that may be active on a worker, and those whose placement is not
 	// committed yet.
 	runs map[mill.TaskID]*run
+	// runsByJob holds the number of these of each job that has any.
+	runsByJob map[string]int
 	// tenants holds what the runs of each tenant take, by the tenant's name, and setupIndex is that of the setup at the last
 	// plan.
 	tenants    map[string]*tenantUse
@@ -115,6 +117,7 @@
 		placer:           placer,
 		workers:          make(map[string]*worker),
 		runs:             make(map[mill.TaskID]*run),
+		runsByJob:        make(map[string]int),
 		tenants:          make(map[string]*tenantUse),
 		setupIndex:       state.SetupIndex(),
 		ordersDue:        make(map[*run]struct{}),
--- a/internal/lead/tenant_use.go
+++ b/internal/lead/tenant_use.go
@@ -25,6 +25,10 @@
 
 // addRun adds a run that is active or is being placed.
 func (s *Scheduler) addRun(r *run) {
+	if _, known := s.runs[r.task]; !known {
+		s.runsByJob[r.task.Job]++
+	}
+
 	s.runs[r.task] = r
 	r.worker.add(r)
 
@@ -37,6 +41,14 @@
 
 // forgetRun deletes a run whose end is committed, or which was not placed.
 func (s *Scheduler) forgetRun(r *run) {
+	if _, known := s.runs[r.task]; known {
+		s.runsByJob[r.task.Job]--
+
+		if s.runsByJob[r.task.Job] == 0 {
+			delete(s.runsByJob, r.task.Job)
+		}
+	}
+
 	delete(s.runs, r.task)
 
 	if r.tenant != "" {
--- a/internal/plan/critical_path.go
+++ b/internal/plan/critical_path.go
@@ -9,7 +9,12 @@
 // CriticalPath returns the duration of the critical path through the steps that are not complete,
 // given an estimate of each step's duration. A nil complete function means that none is.
 func CriticalPath(work *mill.Workload, complete func(step int) bool, estimate func(step int) time.Duration) time.Duration {
-	finishTimes := make([]time.Duration, len(work.Steps))
+	var few [8]time.Duration // Most jobs have few steps, and a plan does this for each job that waits.
+
+	finishTimes := few[:]
+	if len(work.Steps) > len(few) {
+		finishTimes = make([]time.Duration, len(work.Steps))
+	}
 
 	var longest time.Duration
 
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -1,12 +1,15 @@
 package plan
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
@@ -76,6 +79,32 @@
 	assert.DeepEqual(t, values, []*Urgency{urgent, onTime, late, tooLate})
 }
 
+// TestSortByUrgencyIsStable compares the order with a stable sort by what it depends on: steps of one job may be equally
+// urgent, and their order decides which of them gets the room that is left.
+func TestSortByUrgencyIsStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		values := make([]*Urgency, rapid.IntRange(0, 40).Draw(t, "values"))
+		for i := range values {
+			draw := func(name string) int { return rapid.IntRange(0, 2).Draw(t, name) }
+			values[i] = &Urgency{
+				Priority: draw("priority"), Age: time.Duration(draw("age")), Objective: time.Duration(draw("objective")),
+				LongRunning: draw("lasts") == 0, BeyondShare: draw("beyond") == 0, Level: ServiceLevel(draw("level")),
+				Sequence: uint64(draw("sequence")),
+			}
+		}
+
+		plain := slices.Clone(values)
+		slices.SortStableFunc(plain, func(a, b *Urgency) int {
+			return cmp.Or(
+				cmp.Compare(a.class(), b.class()), cmp.Compare(a.Priority, b.Priority), CompareOwed(a, b),
+				cmp.Compare(a.Level, b.Level), cmp.Compare(a.slack(), b.slack()), cmp.Compare(a.Sequence, b.Sequence),
+			)
+		})
+		SortByUrgency(values, func(u *Urgency) *Urgency { return u })
+		assert.Assert(t, slices.Equal(values, plain))
+	})
+}
+
 // TestCriticalPath checks that the durations of parallel steps are not added up.
 func TestCriticalPath(t *testing.T) {
 	work := &mill.Workload{Steps: []mill.Step{{}, {After: []int{0}}, {After: []int{0}}, {After: []int{1, 2}}}}
--- a/internal/plan/urgency.go
+++ b/internal/plan/urgency.go
@@ -72,29 +72,78 @@
 // these by the queue's priority, then those within their tenant's share before those beyond
 // it, then by how well the tenant is served, and then by the least slack.
 func Compare(a, b *Urgency) int {
-	return cmp.Or(
-		cmp.Compare(a.class(), b.class()),
-		cmp.Compare(a.Priority, b.Priority),
-		CompareOwed(a, b),
-		cmp.Compare(a.Level, b.Level),
-		cmp.Compare(a.slack(), b.slack()),
-		cmp.Compare(a.Sequence, b.Sequence),
-	)
+	first, second := a.rank(), b.rank()
+
+	return first.compare(&second)
+}
+
+// rank holds what the order of Compare depends on.
+type rank struct {
+	class, priority int
+	beyondShare     bool
+	level           ServiceLevel
+	slack           time.Duration
+	sequence        uint64
+}
+
+func (u *Urgency) rank() rank {
+	return rank{
+		class: u.class(), priority: u.Priority, beyondShare: u.BeyondShare, level: u.Level, slack: u.slack(), sequence: u.Sequence,
+	}
+}
+
+func (r *rank) compare(other *rank) int {
+	switch {
+	case r.class != other.class:
+		return cmp.Compare(r.class, other.class)
+	case r.priority != other.priority:
+		return cmp.Compare(r.priority, other.priority)
+	case r.beyondShare != other.beyondShare:
+		return compareOwed(r.beyondShare, other.beyondShare)
+	case r.level != other.level:
+		return cmp.Compare(r.level, other.level)
+	case r.slack != other.slack:
+		return cmp.Compare(r.slack, other.slack)
+	default:
+		return cmp.Compare(r.sequence, other.sequence)
+	}
 }
 
 // CompareOwed puts steps that are owed their start before those beyond their tenants' shares.
 func CompareOwed(a, b *Urgency) int {
+	return compareOwed(a.BeyondShare, b.BeyondShare)
+}
+
+func compareOwed(a, b bool) int {
 	switch {
-	case a.BeyondShare == b.BeyondShare:
+	case a == b:
 		return 0
-	case b.BeyondShare:
+	case b:
 		return -1
 	default:
 		return 1
 	}
 }
 
-// SortByUrgency sorts values by the order of Compare, the most urgent first.
+// SortByUrgency sorts values by the order of Compare, the most urgent first; equal ones keep their order. It is meant for
+// backlogs of thousands of steps: the urgency of each value is evaluated once.
 func SortByUrgency[T any](values []T, urgency func(value T) *Urgency) {
-	slices.SortStableFunc(values, func(a, b T) int { return Compare(urgency(a), urgency(b)) })
+	type ranked struct {
+		rank     rank
+		position int
+		value    T
+	}
+
+	sorted := make([]ranked, len(values))
+	for i, value := range values {
+		sorted[i] = ranked{rank: urgency(value).rank(), position: i, value: value}
+	}
+
+	slices.SortFunc(sorted, func(a, b ranked) int {
+		return cmp.Or(a.rank.compare(&b.rank), cmp.Compare(a.position, b.position))
+	})
+
+	for i := range sorted {
+		values[i] = sorted[i].value
+	}
 }
