Spend less on each waiting step of a plan that cannot start

- A step that looks for room skips workers that the advisor refuses by their index, without reading their records.
- A request for an overdue step looked at all workers, also after it had named enough of them.
- Tasks of jobs of which nothing has started are not searched for suspected ones; checkIndexes checks that there are none.
- The maps of idle and waiting steps are reused instead of growing anew for each plan, with one look-up less in each.
Only the memory is kept between plans, not the entries.
- The pool and the size of task that were looked up last are remembered during the plan.

--- a/internal/lead/advice_requests.go
+++ b/internal/lead/advice_requests.go
@@ -54,7 +54,7 @@
 			continue
 		}
 
-		unknown := func(w *worker) bool { return !c.advice.answeredFor[w.status.ID] }
+		unknown := func(w *worker) bool { return !c.advice.answered.has(w.index) }
 		if workers := s.withRackFirst(c, p.pool(c).mostFreeIDs(c, s.adviceNames(c), unknown), p); len(workers) > 0 {
 			p.request(s.newAdviceRequest(c, p.nextAddress(), workers))
 		}
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -65,6 +65,11 @@
 	a.tickets[worker] = ticket{}
 }
 
+// refuses reports whether the advisor is known not to allow the worker with an index; nil refuses none.
+func (a *advice) refuses(index int) bool {
+	return a != nil && !a.unlisted && a.answered.has(index) && !a.allowed.has(index)
+}
+
 // know adds a worker to the sets of those that the advisor has answered for and allows.
 func (a *advice) know(w *worker) {
 	if a.answeredFor[w.status.ID] {
@@ -112,6 +117,9 @@
 	now time.Time
 	// overdue says that the step starts in any room there is, also in what is reserved; see plan.Overdue.
 	overdue bool
+	// idles says that nothing of the step's job ran when the plan began, and idleSince since when that is so.
+	idles     bool
+	idleSince time.Time
 	// heldForRack is how many tasks wait for a rack beside room elsewhere, and away says that a gang runs on workers where it
 	// takes longer.
 	heldForRack int
--- a/internal/lead/crash.go
+++ b/internal/lead/crash.go
@@ -102,7 +102,8 @@
 func (c *candidate) appendSplit(found []*candidate) []*candidate {
 	isSuspected := func(index int) bool { return c.state.Tasks[index].Suspicion > 0 }
 
-	if !slices.ContainsFunc(c.waiting, isSuspected) {
+	// Only runs that have started are suspected, so the tasks of a job without any need not be looked at.
+	if !c.job.HasStarted || !slices.ContainsFunc(c.waiting, isSuspected) {
 		return append(found, c)
 	}
 
--- a/internal/lead/fitting.go
+++ b/internal/lead/fitting.go
@@ -30,7 +30,15 @@
 func (p *pool) fittingFor(c *candidate, workers []*worker) *fitting {
 	perTask := c.step.Reserves()
 
+	if p.lastFitting != nil && p.lastFitting.perTask == perTask {
+		return p.lastFitting
+	}
+
 	found, ok := p.fittings[perTask]
+	if ok {
+		p.lastFitting = found
+	}
+
 	if ok || len(p.fittings) == maxFittings || len(p.members) == 0 {
 		return found
 	}
@@ -66,8 +74,8 @@
 }
 
 // eachUnreserved yields the workers with unreserved capacity for a task, those with the most free capacity when the workers
-// were sorted first.
-func (f *fitting) eachUnreserved(sorted *freeWorkers) iter.Seq[*worker] {
+// were sorted first, without those that the advisor is known to refuse.
+func (f *fitting) eachUnreserved(sorted *freeWorkers, known *advice) iter.Seq[*worker] {
 	if f.next == nil {
 		f.next = sorted.link(f.perTask)
 	}
@@ -76,7 +84,14 @@
 		before := int32(0)
 
 		for at := f.next[0]; at != 0; at = f.next[at] {
-			w := sorted.entries[at-1].worker
+			entry := &sorted.entries[at-1]
+			if known.refuses(entry.index) {
+				before = at
+
+				continue
+			}
+
+			w := entry.worker
 			if !f.perTask.Fits(w.unreserved()) {
 				f.next[before] = f.next[at]
 
--- a/internal/lead/free_workers.go
+++ b/internal/lead/free_workers.go
@@ -21,14 +21,16 @@
 
 type freeWorker struct {
 	worker *worker
-	free   mill.Resources
+	// index is that of the worker: it is looked up without the worker's record, which is large.
+	index int
+	free  mill.Resources
 }
 
 func newFreeWorkers(workers []*worker, dimension func(r mill.Resources) int64) *freeWorkers {
 	f := &freeWorkers{entries: make([]freeWorker, 0, len(workers)), dimension: dimension}
 
 	for _, w := range workers {
-		f.entries = append(f.entries, freeWorker{worker: w, free: w.free()})
+		f.entries = append(f.entries, freeWorker{worker: w, index: w.index, free: w.free()})
 	}
 
 	slices.SortFunc(f.entries, func(a, b freeWorker) int {
@@ -68,13 +70,13 @@
 
 	highest := 0
 	for i := range f.entries {
-		highest = max(highest, f.entries[i].worker.index)
+		highest = max(highest, f.entries[i].index)
 	}
 
 	f.positions = make([]int32, highest+1)
 
 	for i, position := 0, int32(1); i < len(f.entries); i, position = i+1, position+1 {
-		f.positions[f.entries[i].worker.index] = position
+		f.positions[f.entries[i].index] = position
 	}
 
 	return f.positions
--- a/internal/lead/idle.go
+++ b/internal/lead/idle.go
@@ -19,23 +19,38 @@
 
 // recordIdle notes since when the jobs of the candidates have nothing running.
 func (s *Scheduler) recordIdle(candidates []*candidate, now time.Time) {
-	idleSince := make(map[mill.StepID]time.Time, len(s.idleSince))
+	idleSince := emptied(s.spareIdleSince)
 
 	for _, c := range candidates {
-		if _, ok := idleSince[c.id]; ok || !s.nothingRuns(c) {
+		if !s.nothingRuns(c) {
 			continue
 		}
 
-		idleSince[c.id] = now
-		if since, ok := s.idleSince[c.id]; ok {
-			idleSince[c.id] = since
+		since, ok := s.idleSince[c.id]
+		if !ok {
+			since = now
 		}
+
+		idleSince[c.id] = since
+		c.idles, c.idleSince = true, since
 	}
 
-	s.idleSince = idleSince
+	s.idleSince, s.spareIdleSince = idleSince, s.idleSince
 	s.lastCandidates = candidates
 }
 
+// emptied returns an empty map, which is the given one unless that is nil. Maps that each plan fills anew are reused:
+// growing one from empty takes longer than filling it.
+func emptied(spare map[mill.StepID]time.Time) map[mill.StepID]time.Time {
+	if spare == nil {
+		return make(map[mill.StepID]time.Time)
+	}
+
+	clear(spare)
+
+	return spare
+}
+
 // nothingRuns reports whether no run of the step's job is at work or on its way to a worker, as far as this leader knows.
 // The tasks of a long-running step count each for itself.
 func (s *Scheduler) nothingRuns(c *candidate) bool {
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -340,6 +341,7 @@
 // checkIndexes compares what the scheduler keeps between plans with what a search through everything finds.
 func (sim *simulation) checkIndexes(s *Scheduler) {
 	sim.tenants.checkUse(s)
+	sim.checkSuspects()
 
 	runsByJob := make(map[string]int)
 
@@ -390,6 +392,20 @@
 	}
 }
 
+// checkSuspects expects that no task of a job without a started run is suspected: a plan does not look for these.
+func (sim *simulation) checkSuspects() {
+	for id, job := range sim.state.OpenJobs() {
+		for _, occurrence := range job.Occurrences {
+			for _, step := range occurrence.Steps {
+				suspected := slices.ContainsFunc(step.Tasks, func(t jobs.Task) bool { return t.Suspicion > 0 })
+				if suspected && !job.HasStarted {
+					sim.t.Fatalf("%s: a task of %s is suspected, but none has started", sim.elapsed(), id)
+				}
+			}
+		}
+	}
+}
+
 // checkUnproven compares the counts of unproven runs with the runs.
 func (sim *simulation) checkUnproven(w *worker) {
 	unproven, isolating := 0, 0
--- a/internal/lead/overdue.go
+++ b/internal/lead/overdue.go
@@ -18,7 +18,7 @@
 func (s *Scheduler) startOverdue(candidates []*candidate, p *pass) []jobs.Command {
 	var commands []jobs.Command
 
-	for _, c := range s.overdueSteps(candidates, p) {
+	for _, c := range overdueSteps(candidates, p) {
 		if len(c.waiting)+len(c.withheld) > 0 && (c.step.LongRunning || !p.startedJobs[c.id.Job]) {
 			commands = append(commands, s.startOne(c, p)...)
 		}
@@ -29,11 +29,11 @@
 
 // overdueSteps returns the steps whose jobs have had nothing running for over plan.MaxIdleWait, those beyond their tenants'
 // shares last, and of each kind the longest idle first.
-func (s *Scheduler) overdueSteps(candidates []*candidate, p *pass) []*candidate {
+func overdueSteps(candidates []*candidate, p *pass) []*candidate {
 	var overdue []*candidate
 
 	for _, c := range candidates {
-		if plan.Overdue(s.idleFor(c, p.now)) {
+		if c.idles && plan.Overdue(p.now.Sub(c.idleSince)) {
 			overdue = append(overdue, c)
 		}
 	}
@@ -41,7 +41,7 @@
 	slices.SortStableFunc(overdue, func(a, b *candidate) int {
 		return cmp.Or(
 			plan.CompareOwed(&a.urgency, &b.urgency),
-			s.idleSince[a.id].Compare(s.idleSince[b.id]),
+			a.idleSince.Compare(b.idleSince),
 			cmp.Compare(a.job.Sequence, b.job.Sequence),
 		)
 	})
@@ -151,24 +151,21 @@
 		}
 	}
 
-	for at, word := range members {
-		if word == 0 {
-			continue
+	visit := func(index int) bool {
+		w := s.workersByIndex[index]
+		if perTask.Fits(c.room(w)) {
+			return do(w)
 		}
 
-		proceed := eachIndex(at, word&set(at), func(index int) bool {
-			w := s.workersByIndex[index]
-			if perTask.Fits(c.room(w)) {
-				return do(w)
-			}
+		if known != nil {
+			known.recheck(w)
+		}
 
-			if known != nil {
-				known.recheck(w)
-			}
+		return true
+	}
 
-			return true
-		})
-		if !proceed {
+	for at, word := range members {
+		if word != 0 && !eachIndex(at, word&set(at), visit) {
 			return true
 		}
 	}
@@ -202,7 +199,11 @@
 	c.adviceWanted = make([]string, 0, names)
 
 	for w := range p.pool(c).eachOverdue(c) {
-		if len(c.adviceWanted) < names && c.compatible(w) && !c.advice.answeredFor[w.status.ID] {
+		if len(c.adviceWanted) == names {
+			break
+		}
+
+		if c.compatible(w) && !c.advice.answered.has(w.index) {
 			c.adviceWanted = append(c.adviceWanted, w.status.ID)
 		}
 	}
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -18,6 +18,9 @@
 	// findPools returns the pools by service; it is called once a step waits.
 	findPools func() map[string]*pool
 	pools     map[string]*pool
+	// lastPool is the pool that was asked for last, of lastService.
+	lastPool    *pool
+	lastService string
 	// idleAddresses are the addresses through which the advisor can be asked now.
 	idleAddresses []string
 	// requests are the requests for advice that the pass sends, each through the next idle address, and keptAddresses how many
@@ -103,6 +106,8 @@
 	reservationSearches int
 	// fittings holds which workers have room, by what a task reserves.
 	fittings map[mill.Resources]*fitting
+	// lastFitting is the one that was asked for last.
+	lastFitting *fitting
 	// quarantined are workers that only overdue steps may try.
 	quarantined []*worker
 	// members holds the workers and the quarantined ones.
@@ -116,11 +121,18 @@
 
 // pool returns the workers for a step.
 func (p *pass) pool(c *candidate) *pool {
-	if found, ok := p.poolsByService()[c.queue.Service]; ok {
-		return found
+	if p.lastPool != nil && p.lastService == c.queue.Service {
+		return p.lastPool
 	}
 
-	return emptyPool
+	found, ok := p.poolsByService()[c.queue.Service]
+	if !ok {
+		found = emptyPool
+	}
+
+	p.lastPool, p.lastService = found, c.queue.Service
+
+	return found
 }
 
 func (p *pass) poolsByService() map[string]*pool {
@@ -172,15 +184,15 @@
 	return p.byMilliCores
 }
 
-// eachUnreserved yields the workers that may have unreserved capacity for a task of the step, those with the most when the
-// pass began first. All workers are given by index.
+// eachUnreserved yields the workers that may have unreserved capacity for a task of the step and that the advisor may allow,
+// those with the most when the pass began first. All workers are given by index.
 func (p *pool) eachUnreserved(c *candidate, workers []*worker) iter.Seq[*worker] {
 	if len(p.workers) == 0 {
 		return func(func(w *worker) bool) {}
 	}
 
 	if known := p.fittingFor(c, workers); known != nil {
-		return known.eachUnreserved(p.byFreeCapacity(c))
+		return known.eachUnreserved(p.byFreeCapacity(c), c.advice)
 	}
 
 	return p.byFreeCapacity(c).eachFitting(c.step.Reserves())
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -84,7 +84,10 @@
 	plannedAt time.Time
 	// idleSince holds since when steps that wait belong to jobs of which nothing runs, and lastCandidates the steps of the
 	// last plan.
-	idleSince      map[mill.StepID]time.Time
+	idleSince map[mill.StepID]time.Time
+	// spareIdleSince and spareWaits are the maps of the plan before, which the next one reuses.
+	spareIdleSince map[mill.StepID]time.Time
+	spareWaits     map[mill.StepID]time.Time
 	lastCandidates []*candidate
 	standstills    standstills
 	racks          rackWaits
--- a/internal/lead/waiting_step.go
+++ b/internal/lead/waiting_step.go
@@ -48,7 +48,9 @@
 
 // recordWaits notes since when each step waits.
 func (s *Scheduler) recordWaits(candidates []*candidate, now time.Time) {
-	waits := make(map[mill.StepID]time.Time, len(s.waits))
+	var longest time.Time
+
+	waits := emptied(s.spareWaits)
 	s.longestWait = nil
 
 	for _, c := range candidates {
@@ -63,12 +65,12 @@
 
 		waits[c.id] = since
 
-		if s.longestWait == nil || since.Before(waits[s.longestWait.id]) {
-			s.longestWait = c
+		if s.longestWait == nil || since.Before(longest) {
+			s.longestWait, longest = c, since
 		}
 	}
 
-	s.waits = waits
+	s.waits, s.spareWaits = waits, s.waits
 }
 
 // waitOf returns for how long a step has waited.
