--- a/internal/lead/backlog.go
+++ b/internal/lead/backlog.go
@@ -11,7 +11,9 @@
 // candidates returns the steps that have tasks to place, in order of precedence, and drops what is kept
 // about the steps of finished jobs.
 func (s *Scheduler) candidates(wallMilli int64, state *jobs.State) []*candidate {
-	var found []*candidate
+	s.memory.begin()
+
+	found := make([]*candidate, 0, len(s.lastCandidates))
 
 	for _, job := range state.OpenJobs() {
 		if job.Finished() {
@@ -55,7 +57,7 @@
 			if c.waiting = s.waitingTasks(c); len(c.waiting) > 0 {
 				c.urgency = s.newUrgency(c, occurrence, wallMilli)
 				c.advice = s.adviceFor(c)
-				found = append(found, c.splitSuspected()...)
+				found = c.appendSplit(found)
 			}
 		}
 	}
@@ -65,7 +67,8 @@
 
 // newCandidate returns a step with its queue as configured now; see jobs.Job.CurrentQueue.
 func (s *Scheduler) newCandidate(job *jobs.Job, setup *mill.SetupIndex, id mill.StepID) *candidate {
-	return &candidate{
+	c := s.memory.next()
+	*c = candidate{
 		id:            id,
 		job:           job,
 		queue:         job.CurrentQueue(setup),
@@ -74,19 +77,25 @@
 		deliveryDelay: commitDelay + s.bounds.MaxDeliveryDelay,
 		now:           s.plannedAt,
 	}
+
+	return c
 }
 
 // waitingTasks returns the indexes of the tasks that have no run. A gang is placed as a whole, so
 // it is returned only when all its tasks wait. It notes whether placements are being committed.
 func (s *Scheduler) waitingTasks(c *candidate) []int {
-	var waiting []int
+	pending := len(c.state.Tasks) - c.state.Done - c.state.Placed
+	waiting := make([]int, 0, max(0, pending))
+	mayHaveRun := s.runsByJob[c.id.Job] > 0
 
 	for index := range c.state.Tasks {
-		if c.state.Tasks[index].Phase != jobs.TaskPending {
+		if pending < len(c.state.Tasks) && c.state.Tasks[index].Phase != jobs.TaskPending {
 			continue
 		}
 
-		if _, hasRun := s.runs[c.id.Task(index)]; hasRun {
+		if !mayHaveRun {
+			waiting = append(waiting, index)
+		} else if _, hasRun := s.runs[c.id.Task(index)]; hasRun {
 			c.beingPlaced = true
 		} else {
 			waiting = append(waiting, index)
--- a/internal/lead/invariants_test.go
+++ b/internal/lead/invariants_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cranberrymill/cranberrymill/internal/jobs"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -352,14 +353,23 @@
 // checkIndexes compares what the scheduler keeps between plans with what a search through everything finds.
 func (sim *simulation) checkIndexes(s *Scheduler) {
 	sim.tenants.checkUse(s)
+	sim.checkSuspects()
+
+	runsByJob := make(map[string]int)
 
 	for _, r := range s.runs {
+		runsByJob[r.task.Job]++
+
 		due := r.cause == "" && (r.stopping || r.phase == runStarting)
 		if _, listed := s.ordersDue[r]; due && !listed {
 			sim.t.Fatalf("%s: task %s run %d waits for an order and is not listed", sim.elapsed(), r.task, r.number)
 		}
 	}
 
+	if !maps.Equal(runsByJob, s.runsByJob) {
+		sim.t.Fatalf("%s: the counts of runs are %v instead of %v", sim.elapsed(), s.runsByJob, runsByJob)
+	}
+
 	sorted := slices.SortedFunc(maps.Values(s.workers), byID)
 	if !slices.Equal(sorted, s.workersByID()) {
 		sim.t.Fatalf("%s: the sorted workers are out of date", sim.elapsed())
@@ -394,6 +404,20 @@
 	}
 }
 
+// checkSuspects expects that no task of a job without a started run is suspected: a plan does not look for these.
+func (sim *simulation) checkSuspects() {
+	for id, job := range sim.state.OpenJobs() {
+		for _, occurrence := range job.Occurrences {
+			for _, step := range occurrence.Steps {
+				suspected := slices.ContainsFunc(step.Tasks, func(t jobs.Task) bool { return t.Suspicion > 0 })
+				if suspected && !job.HasStarted {
+					sim.t.Fatalf("%s: a task of %s is suspected, but none has started", sim.elapsed(), id)
+				}
+			}
+		}
+	}
+}
+
 // checkUnproven compares the counts of unproven runs with the runs.
 func (sim *simulation) checkUnproven(w *worker) {
 	unproven, isolating := 0, 0
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -18,6 +18,9 @@
 	// findPools returns the pools by service; it is called once a step waits.
 	findPools func() map[string]*pool
 	pools     map[string]*pool
+	// lastPool is the pool that was asked for last, of lastService.
+	lastPool    *pool
+	lastService string
 	// idleAddresses are the addresses through which the advisor can be asked now.
 	idleAddresses []string
 	// requests are the requests for advice that the pass sends, each through the next idle address, and keptAddresses how many
@@ -101,6 +104,10 @@
 	// it has looked for such workers.
 	reservedWorkers     int
 	reservationSearches int
+	// fittings holds which workers have room, by what a task reserves.
+	fittings map[mill.Resources]*fitting
+	// lastFitting is the one that was asked for last.
+	lastFitting *fitting
 	// quarantined are workers that only overdue steps may try.
 	quarantined []*worker
 	// members holds the workers and the quarantined ones.
@@ -114,11 +121,18 @@
 
 // pool returns the workers for a step.
 func (p *pass) pool(c *candidate) *pool {
-	if found, ok := p.poolsByService()[c.queue.Service]; ok {
-		return found
+	if p.lastPool != nil && p.lastService == c.queue.Service {
+		return p.lastPool
 	}
 
-	return emptyPool
+	found, ok := p.poolsByService()[c.queue.Service]
+	if !ok {
+		found = emptyPool
+	}
+
+	p.lastPool, p.lastService = found, c.queue.Service
+
+	return found
 }
 
 func (p *pass) poolsByService() map[string]*pool {
@@ -170,14 +184,18 @@
 	return p.byMilliCores
 }
 
-// fitting returns the workers that had the capacity for a task of the step when the pass began, those with the most first.
-// The result is valid until the next call.
-func (p *pool) fitting(c *candidate) []*worker {
+// eachUnreserved yields the workers that may have unreserved capacity for a task of the step and that the advisor may allow,
+// those with the most when the pass began first. All workers are given by index.
+func (p *pool) eachUnreserved(c *candidate, workers []*worker) iter.Seq[*worker] {
 	if len(p.workers) == 0 {
-		return nil
+		return func(func(w *worker) bool) {}
+	}
+
+	if known := p.fittingFor(c, workers); known != nil {
+		return known.eachUnreserved(p.byFreeCapacity(c), c.advice)
 	}
 
-	return p.byFreeCapacity(c).fitting(c.step.Reserves())
+	return p.byFreeCapacity(c).eachFitting(c.step.Reserves())
 }
 
 // eachFitting yields the workers that had the capacity for a task of the step when the pass began, those with the most
