Give jobs up for crashes only if chance does not explain them

- plan.Crash weighs a crash: whether other runs may explain it, whether the run had just begun or may have ended, and how often workers crash otherwise, at the same time or recently.
- The time of a crash is that of the first renewal that failed, not that at which the crash became certain, up to seconds later.
- Members of a gang on one worker are one suspect.
A run whose gang has ended is none.

--- a/internal/lead/backlog.go
+++ b/internal/lead/backlog.go
@@ -33,6 +33,12 @@
 		}
 	}
 
+	for id := range s.crashPauses {
+		if job, ok := state.Job(id.Job); !ok || job.Finished() {
+			delete(s.crashPauses, id)
+		}
+	}
+
 	s.forgetRackWaits(state)
 	plan.SortByUrgency(found, func(c *candidate) *plan.Urgency { return &c.urgency })
 
@@ -55,7 +61,7 @@
 			if c.waiting = s.waitingTasks(c); len(c.waiting) > 0 {
 				c.urgency = s.newUrgency(c, occurrence, wallMilli)
 				c.advice = s.adviceFor(c)
-				found = append(found, c.splitSuspected()...)
+				found = append(found, s.splitSuspected(c)...)
 			}
 		}
 	}
--- a/internal/lead/crash.go
+++ b/internal/lead/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cranberrymill/cranberrymill/internal/plan"
@@ -12,10 +13,26 @@
 // it does so at once.
 const crashTime = 200 * time.Millisecond
 
+// crashRecord is a crash of a worker that was noticed.
+type crashRecord struct {
+	worker *worker
+	at     time.Time
+	// suspects is how many runs may have caused it. One of which only one run is suspected is not due to chance alone.
+	suspects int
+}
+
+// crashPause is how often a suspected task has lost its worker to a crash, how many of these count among the crashes for
+// other reasons, and until when it is not started again.
+type crashPause struct {
+	crashes   int
+	explained int
+	until     time.Time
+}
+
 // workerReplaced records that another worker answers at a worker's address: the worker has stopped, with all its
 // runs.
-func (s *Scheduler) workerReplaced(w *worker) {
-	s.recordCrash(w)
+func (s *Scheduler) workerReplaced(w *worker, now time.Time) {
+	s.recordCrash(w, now)
 
 	w.gone = true
 }
@@ -23,30 +40,65 @@
 // recordCrash records that a worker has ended while runs were active on it, unless it had announced that or its machine
 // is in maintenance. Only runs that are known to have started are suspected: for the others it is not certain that
 // the worker has crashed under them.
-func (s *Scheduler) recordCrash(w *worker) {
+func (s *Scheduler) recordCrash(w *worker, now time.Time) {
 	if w.gone || w.status.Draining || w.leaving || s.mayBeDown(w) {
 		return
 	}
 
-	suspects := 0
+	at := now
+	if !w.silentSince.IsZero() {
+		at = w.silentSince
+	}
 
-	for _, r := range w.runs {
-		if r.mayHaveCrashedWorker() {
-			suspects++
+	w.silentSince = time.Time{}
+	suspects := w.crashSuspects()
+	s.addCrash(crashRecord{worker: w, at: at, suspects: suspects})
+
+	for _, r := range w.runsByTask() {
+		if !r.workerCrashed {
+			s.recordCrashUnder(r, suspects, at)
 		}
 	}
+}
+
+// recordCrashUnder records that a run's worker has crashed.
+func (s *Scheduler) recordCrashUnder(r *run, suspects int, at time.Time) {
+	r.workerCrashed = !r.startedAt.IsZero()
+
+	if r.earlierSuspicion > 0 || r.mayHaveCrashedWorker() {
+		s.pauseAfterCrash(r, suspects, at)
+	}
 
-	for _, r := range w.runsByTask() {
-		if r.workerCrashed || r.startedAt.IsZero() {
-			continue
+	if r.mayHaveCrashedWorker() {
+		r.crashedAt = at
+		r.crash = plan.Crash{
+			Suspects: suspects, Lifetime: at.Sub(r.startedAt), Ending: r.stopping && r.gang == nil,
+			Estimate: s.estimates.Correct(r.queue, r.step.Estimate),
 		}
+	}
+}
 
-		r.workerCrashed = true
+// crashSuspects returns how many of the worker's runs may crash it. The members of a gang are one: they fail together.
+func (w *worker) crashSuspects() int {
+	suspects := 0
+	gangs := make(map[*gangRun]bool)
 
-		if r.mayHaveCrashedWorker() {
-			r.suspects = suspects
+	for _, r := range w.runs {
+		if !r.mayHaveCrashedWorker() || r.gang != nil && gangs[r.gang] {
+			continue
 		}
+
+		gangs[r.gang] = true
+		suspects++
 	}
+
+	return suspects
+}
+
+// addCrash adds a crash to those that tell how often workers crash, and drops the old ones.
+func (s *Scheduler) addCrash(crash crashRecord) {
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crashRecord) bool { return crash.at.Sub(c.at) > 2*plan.CrashRateSpan })
+	s.crashes = append(s.crashes, crash)
 }
 
 // concludeCrash returns the cause for which a run has finished, given what it seems to be, and decides how strongly the
@@ -56,24 +108,114 @@
 		return cause
 	}
 
-	if r.suspects > 0 {
-		r.suspicion = plan.CrashSuspicion(r.suspects)
+	if r.crash.Suspects > 0 {
+		s.weighCrash(r)
+		r.suspicion = r.crash.Suspicion(r.earlierSuspicion)
 		s.addEvent(EventSuspect, r, suspicionDetail(r))
 	}
 
 	return mill.FinishWorkerCrashed
 }
 
+// weighCrash adds to the crash of a run's worker which other workers have crashed or fallen silent, at the same time and
+// recently.
+func (s *Scheduler) weighCrash(r *run) {
+	w, c := r.worker, &r.crash
+	c.Ending = c.Ending || r.gang != nil && r.gang.ended
+	c.Span = min(plan.CrashRateSpan, max(plan.MinCrashRateSpan, r.crashedAt.Sub(s.termStart)))
+
+	lost := s.lostAt(r.crashedAt)
+	c.Recent = s.otherCrashes(r)
+
+	for _, other := range s.workersByIndex {
+		if other.status.Service == w.status.Service && r.crashedAt.Sub(other.lastHeard) < reportTimeout {
+			c.Workers++
+		}
+
+		if silent := lost[other] || together(other.silentSince, r.crashedAt); other != w && (silent || s.isPresent(other)) {
+			countCrash(c, w, other, silent)
+		}
+	}
+}
+
+// lostAt returns the workers that have crashed at about a time, but those of which one run explains that.
+func (s *Scheduler) lostAt(at time.Time) map[*worker]bool {
+	lost := make(map[*worker]bool)
+
+	for _, other := range s.crashes {
+		if other.suspects != 1 && together(other.at, at) {
+			lost[other.worker] = true
+		}
+	}
+
+	return lost
+}
+
+// otherCrashes returns how many crashes there were in the pool within the span of a run's crash that neither one run
+// explains nor this task may explain.
+func (s *Scheduler) otherCrashes(r *run) int {
+	count := 0
+
+	for _, other := range s.crashes {
+		if other.suspects != 1 && other.worker.status.Service == r.worker.status.Service &&
+			r.crashedAt.Sub(other.at) < r.crash.Span {
+			count++
+		}
+	}
+
+	return max(0, count-s.crashPauses[r.task].explained)
+}
+
+// isPresent reports whether a worker has runs, so that its crash would be noticed at once.
+func (s *Scheduler) isPresent(w *worker) bool {
+	return !w.gone && s.workers[w.status.ID] == w && len(w.runs) > 0
+}
+
+// countCrash adds another worker to the groups of the one that has crashed.
+func countCrash(c *plan.Crash, w, other *worker, silent bool) {
+	if other.status.Service == w.status.Service {
+		c.Pool.Add(silent)
+	}
+
+	if w.status.DataCentre != "" && other.status.DataCentre == w.status.DataCentre {
+		c.DataCentre.Add(silent)
+	}
+}
+
+func together(a, b time.Time) bool {
+	return a.Sub(b).Abs() <= plan.CrashesTogether
+}
+
+// pauseAfterCrash delays the next start of a suspected task. The pauses are not recorded: they start over with a new leader.
+func (s *Scheduler) pauseAfterCrash(r *run, suspects int, at time.Time) {
+	p := s.crashPauses[r.task]
+	p.crashes++
+
+	if suspects != 1 {
+		p.explained++
+	}
+
+	p.until = at.Add(plan.CrashPause(p.crashes))
+	s.crashPauses[r.task] = p
+}
+
+// pausedAfterCrash reports whether a suspected task is not started yet.
+func (s *Scheduler) pausedAfterCrash(task mill.TaskID, now time.Time) bool {
+	return now.Before(s.crashPauses[task].until)
+}
+
 // clearCrash records that a run is active, so that its worker has not crashed under it: the restart that was taken for a
 // crash came before the run.
 func (r *run) clearCrash() {
 	r.workerCrashed = false
-	r.suspects = 0
+	r.crash = plan.Crash{}
 }
 
 // suspicionDetail describes the evidence against a run for the log.
 func suspicionDetail(r *run) string {
-	detail := fmt.Sprintf("one of %d, suspicion %d+%d", r.suspects, r.earlierSuspicion, r.suspicion)
+	detail := fmt.Sprintf("one of %d after %s, %d of %d in its pool at once, %d recently, suspicion %d+%d",
+		r.crash.Suspects, r.crash.Lifetime, r.crash.Pool.Together, r.crash.Pool.Workers, r.crash.Recent,
+		r.earlierSuspicion, r.suspicion)
 	if r.givesUp() {
 		return detail + ", job given up"
 	}
@@ -94,22 +236,33 @@
 
 	r.worker.countUnproven(r, -1)
 	r.proven = true
+
+	delete(s.crashPauses, r.task)
 }
 
 // splitSuspected returns the step's unsuspected tasks as one candidate, and each suspected one as another, so that they
-// go to different workers. A gang is not split: all its tasks are suspected if one is.
-func (c *candidate) splitSuspected() []*candidate {
+// go to different workers, without those that are paused. A gang is not split: all its tasks are suspected if one is.
+func (s *Scheduler) splitSuspected(c *candidate) []*candidate {
 	var trusted, suspected []int
 
+	paused := 0
+
 	for _, index := range c.waiting {
-		if c.state.Tasks[index].Suspicion > 0 {
-			suspected = append(suspected, index)
-		} else {
+		switch {
+		case c.state.Tasks[index].Suspicion == 0:
 			trusted = append(trusted, index)
+		case s.pausedAfterCrash(c.id.Task(index), c.now):
+			paused++
+		default:
+			suspected = append(suspected, index)
 		}
 	}
 
-	if len(suspected) == 0 {
+	if paused > 0 && c.step.Gang {
+		return nil
+	}
+
+	if len(suspected)+paused == 0 {
 		return []*candidate{c}
 	}
 
@@ -136,15 +289,33 @@
 	return split
 }
 
-// isolate returns a filter for the workers of a suspected step: those on which no other run can cause a crash, so that
-// the next crash proves what the task does. After maxAvoidTime the step no longer waits for such a worker.
-func (s *Scheduler) isolate(c *candidate, p *pass) func(w *worker) bool {
-	c.isolated = c.suspected && p.now.Sub(s.waitingSince(c.id.Task(c.waiting[0]), p.now)) <= maxAvoidTime
-	if !c.isolated {
-		return nil
+// chooseIsolated chooses workers as chooseByRack does, for a suspected step those on which no other run can cause a crash,
+// so that the next crash proves what the task does. After maxAvoidTime the step takes others too if there are none of these.
+func (s *Scheduler) chooseIsolated(c *candidate, count int, p *pass) ([]int, []*worker) {
+	waits := s.isolate(c, p)
+	c.isolated = c.suspected && p.pool(c).mayIsolate()
+
+	if c.isolated {
+		chosen, workers := s.chooseByRack(c, count, p, func(w *worker) bool { return w.unprovenRuns == 0 })
+		if len(chosen) > 0 && (!c.step.Gang || len(chosen) == count) {
+			return chosen, workers
+		}
+	}
+
+	c.isolated = false
+
+	if waits {
+		return nil, nil
 	}
 
-	return func(w *worker) bool { return w.unprovenRuns == 0 }
+	return s.chooseByRack(c, count, p, nil)
+}
+
+// isolate reports whether a step waits for workers on which no other run can cause a crash.
+func (s *Scheduler) isolate(c *candidate, p *pass) bool {
+	c.isolated = c.suspected && p.now.Sub(s.waitingSince(c.id.Task(c.waiting[0]), p.now)) <= maxAvoidTime
+
+	return c.isolated
 }
 
 // mayIsolate reports whether one more worker of the pool may be kept for a suspected task.
--- a/internal/lead/finish.go
+++ b/internal/lead/finish.go
@@ -48,11 +48,20 @@
 	r.worker.uncommittedFinishes++
 	s.finished = append(s.finished, finishedRun{run: r, cause: cause})
 
+	if r.gang != nil {
+		r.gang.ended = r.gang.ended || endsGang(cause)
+	}
+
 	if r.step.Gang && cause != mill.FinishDone {
 		s.stopGang(r)
 	}
 }
 
+// endsGang reports whether a member that has ended with a cause ends the run of its gang, where no worker has crashed.
+func endsGang(cause mill.FinishCause) bool {
+	return cause == mill.FinishDone || cause == mill.FinishFailed
+}
+
 // finishCommands empties the queue of finished runs and returns the commands that record them.
 func (s *Scheduler) finishCommands(now time.Time) []jobs.Command {
 	commands := make([]jobs.Command, 0, len(s.finished))
--- a/internal/lead/gang_run.go
+++ b/internal/lead/gang_run.go
@@ -26,6 +26,8 @@
 	failedBefore bool
 	// done says that a member has completed the run.
 	done bool
+	// ended says that a member has ended the run by itself, so that the others may have ended though no worker has crashed.
+	ended bool
 	// failedAt is when the first member has failed; zero if none has.
 	failedAt time.Time
 	failure  plan.GangFailure
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -60,12 +60,7 @@
 
 // placeTasks places as many of a step's first waiting tasks as fit, up to a count, or a gang's only all together.
 func (s *Scheduler) placeTasks(c *candidate, count int, p *pass) []jobs.Command {
-	filter := s.isolate(c, p)
-	if c.isolated && !p.pool(c).mayIsolate() {
-		return nil
-	}
-
-	chosen, workers := s.chooseByRack(c, count, p, filter)
+	chosen, workers := s.chooseIsolated(c, count, p)
 	if c.step.Gang && len(chosen) < count {
 		return nil
 	}
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -31,7 +31,7 @@
 	case mill.OutcomeAccepted:
 		s.markStarted(r, now)
 	case mill.OutcomeWorkerReplaced:
-		s.workerReplaced(r.worker)
+		s.workerReplaced(r.worker, now)
 	case mill.OutcomeFinished:
 		// The worker refuses to start the run again; its next report shows whether the run finished.
 		s.markDoubtful(r, now)
@@ -150,7 +150,7 @@
 	case r.worker.incarnations.mayBeEarlier(stop.epoch):
 		r.nextStop = now
 	case reply.Outcome == mill.OutcomeWorkerReplaced:
-		s.workerReplaced(r.worker)
+		s.workerReplaced(r.worker, now)
 	case reply.Outcome.Stopped():
 		s.stopAccepted(r, reply.ClockMilli, now)
 	case reply.Outcome.Transient():
@@ -212,7 +212,7 @@
 	switch reply.Outcome {
 	case mill.OutcomeAccepted:
 	case mill.OutcomeWorkerReplaced:
-		s.workerReplaced(w)
+		s.workerReplaced(w, now)
 
 		return
 	case mill.OutcomeNotListening:
@@ -239,6 +239,7 @@
 	w.acknowledgedThrough = max(w.acknowledgedThrough, renew.Order.Acknowledged)
 
 	s.identifyIncarnation(w, renew, reply, now)
+	w.silentSince = time.Time{}
 	w.lastRenewal = w.answeredAt(reply.ClockMilli, sentAt, now)
 	w.clock.observe(reply.ClockMilli, now)
 	s.readFinished(w, reply.Finished)
--- a/internal/lead/run.go
+++ b/internal/lead/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cranberrymill/cranberrymill/internal/plan"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -70,10 +71,11 @@
 	away bool
 	// proven says that the worker has listed the run for long enough that starting it has not crashed the worker.
 	proven bool
-	// workerCrashed says that the worker seems to have crashed since the run started on it. suspects is the number of
-	// runs that may have caused that if this is one of them, and suspicion how strongly it is suspected in the end.
+	// workerCrashed says that the worker seems to have crashed since the run started on it. If the run may have caused
+	// that, crash is what is known of it, crashedAt when it was noticed, and suspicion what it adds in the end.
 	workerCrashed bool
-	suspects      int
+	crash         plan.Crash
+	crashedAt     time.Time
 	suspicion     int
 	// cause is why the run has finished; "" while it may be active.
 	cause mill.FinishCause
--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -86,6 +86,9 @@
 	lastCandidates []*candidate
 	standstills    standstills
 	racks          rackWaits
+	// crashes holds the crashes of workers within the last minute, and crashPauses the pauses of suspected tasks.
+	crashes     []crashRecord
+	crashPauses map[mill.TaskID]crashPause
 }
 
 // advisorAddress is the address of a process that forwards requests to the advisor, one at a time.
@@ -127,6 +130,7 @@
 		machinesChangedAt: now.Add(bounds.HolderLease),
 
 		waitingSinceFailure: make(map[mill.TaskID]time.Time),
+		crashPauses:         make(map[mill.TaskID]crashPause),
 	}
 
 	s.loadWorkerRecords(state)
@@ -271,7 +275,7 @@
 // An order may already have reached the new incarnation, with a lease end that was computed on the
 // old incarnation's clock, so the lease is assumed to last for the longest time any lease can.
 func (s *Scheduler) workerRestarted(w *worker, clockMilli int64, now time.Time) {
-	s.recordCrash(w)
+	s.recordCrash(w, now)
 
 	w.incarnations.learn()
 	w.leaving = false // It was the earlier incarnation that left.
--- a/internal/lead/worker.go
+++ b/internal/lead/worker.go
@@ -83,8 +83,10 @@
 	nextRenewal         time.Time
 	// failedRenewals counts the renewals that have failed since the last one that succeeded.
 	failedRenewals int
-	health         plan.WorkerHealth
-	slowness       plan.Slowness
+	// silentSince is when the first of them failed, as long as the worker is not known to have crashed.
+	silentSince time.Time
+	health      plan.WorkerHealth
+	slowness    plan.Slowness
 }
 
 func newWorker(id string) *worker {
@@ -169,6 +171,10 @@
 
 // renewalFailed records a renewal that was not answered or refused.
 func (w *worker) renewalFailed(now time.Time) {
+	if w.failedRenewals == 0 {
+		w.silentSince = now
+	}
+
 	w.failedRenewals++
 	w.nextRenewal = now.Add(retryDelay)
 }
