--- a/internal/lead/scheduler.go
+++ b/internal/lead/scheduler.go
@@ -97,6 +97,9 @@
 	memory         candidateMemory
 	standstills    standstills
 	racks          rackWaits
+	// crashes holds the crashes of workers within the last minute, and crashPauses the pauses of suspected tasks.
+	crashes     []crashRecord
+	crashPauses map[mill.TaskID]crashPause
 }
 
 // advisorAddress is the address of a process that forwards requests to the advisor, one at a time.
@@ -137,6 +140,7 @@
 		plannedWaves:        make(map[int]bool),
 		promptWorkers:       make(map[string]bool),
 		waitingSinceFailure: make(map[mill.TaskID]time.Time),
+		crashPauses:         make(map[mill.TaskID]crashPause),
 	}
 
 	if len(state.Waves()) > 0 {
@@ -293,7 +297,7 @@
 // An order may already have reached the new incarnation, with a lease end that was computed on the
 // old incarnation's clock, so the lease is assumed to last for the longest time any lease can.
 func (s *Scheduler) workerRestarted(w *worker, clockMilli int64, now time.Time) {
-	s.recordCrash(w)
+	s.recordCrash(w, now)
 
 	w.incarnations.learn()
 	w.leaving = false // It was the earlier incarnation that left, or whose machine went down.
