Check the unavailable tasks of serving steps again when the runs on a machine are stopped

The order for a machine goes out up to MaxStopTime and 0.4 s after it was found that its tasks may be interrupted; another task of the step may be lost meanwhile. TestTaskLostDuringStopsHoldsMaintenanceBack failed before and passes.

--- a/internal/lead/maintenance.go
+++ b/internal/lead/maintenance.go
@@ -337,7 +337,8 @@
 		s.stopForMaintenance(w)
 	}
 
-	return s.endsRead(m, w, now)
+	// Other tasks of the steps that last may have become unavailable meanwhile.
+	return s.endsRead(m, w, now) && s.mayInterrupt(w, state)
 }
 
 // stopForMaintenance stops the runs on a worker whose machine goes down, except those that last. The order would end them
--- a/internal/lead/maintenance_ends_test.go
+++ b/internal/lead/maintenance_ends_test.go
@@ -118,6 +118,45 @@
 	assert.Equal(t, len(sim.leader.scheduler.maintenance), 0, "the machine is back in service")
 }
 
+// TestTaskLostDuringStopsHoldsMaintenanceBack guards against maintenance that makes a second task of a serving step
+// unavailable: one was lost while the other runs on the machine were being stopped.
+func TestTaskLostDuringStopsHoldsMaintenanceBack(t *testing.T) {
+	sim := servingSimulation(t, 3, 2)
+	sim.submit("batch", "free", time.Minute,
+		mill.Step{Count: 3, MaxPerWorker: 1, PerTask: mill.Resources{MilliCores: 1000, MemoryMiB: 100}})
+	sim.run(2 * time.Second)
+
+	var serving []*executor
+
+	for _, e := range sim.executors {
+		if len(e.running) == 2 {
+			serving = append(serving, e)
+		}
+	}
+
+	assert.Equal(t, len(serving), 2)
+
+	machine := "m-" + serving[0].id
+	wave := &mill.Wave{Number: 1, Machines: []string{machine}, Duration: 3 * time.Second, MaxAtOnce: 1}
+	sim.state.Apply(&jobs.Command{StartWave: wave})
+
+	scheduler := sim.leader.scheduler
+	for m := scheduler.maintenance[machine]; m == nil || m.dueSince.IsZero(); m = scheduler.maintenance[machine] {
+		sim.step()
+	}
+
+	serving[1].mute = true
+	scheduler.workers[serving[1].id].failedRenewals = 1
+
+	sim.run(2 * time.Second)
+	assert.Assert(t, serving[0].up, "both tasks of the step are unavailable")
+
+	serving[1].mute = false
+
+	sim.run(2 * time.Second)
+	assert.Assert(t, !serving[0].up)
+}
+
 // running counts the runs of a job.
 func (sim *simulation) running(job string) int {
 	count := 0
