Build the program for tests of its processes in one place

platform/hostile had added a third copy of the build in TestMain, and a second one of the search for a free port. Cause: both lived in test files of other packages.

--- /dev/null
+++ b/internal/proc/doc.go
@@ -0,0 +1,2 @@
+// Package proc helps tests that start the program's own processes.
+package proc
--- a/test/scene/system_test.go
+++ b/test/scene/system_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/cranberrymill/cranberrymill/internal/conf"
 	"github.com/cranberrymill/cranberrymill/internal/entry"
+	"github.com/cranberrymill/cranberrymill/internal/proc"
 	"github.com/cranberrymill/cranberrymill/pkg/mill"
 )
 
@@ -28,29 +29,7 @@
 var program string
 
 func TestMain(m *testing.M) {
-	os.Exit(runTests(m))
-}
-
-func runTests(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "scene")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-
-		return 1
-	}
-
-	defer func() { _ = os.RemoveAll(folder) }()
-
-	program = filepath.Join(folder, "cranberrymill")
-
-	build := exec.Command("go", "build", "-o", program, "../..")
-	build.Stderr = os.Stderr
-
-	if err := build.Run(); err != nil {
-		return 1
-	}
-
-	return m.Run()
+	os.Exit(proc.Main(m, &program))
 }
 
 // process is a running instance of the program.
