--- a/internal/core/job_calls.go
+++ b/internal/core/job_calls.go
@@ -60,7 +60,7 @@
 	c.stateMachine.view(func(state *jobs.State) {
 		queue, id, ok := state.SetupIndex().Find(request.Host, request.Path)
 		if !ok || id == "" || strings.Contains(id, "/") {
-			err = merry.Prepend(mill.ErrNoQueue, request.Path, merry.NoCaptureStack())
+			err = noQueue(request.Path)
 
 			return
 		}
@@ -166,25 +166,38 @@
 		errors.Is(err, mill.ErrUnauthenticated) || errors.Is(err, mill.ErrForbidden)
 }
 
-// readJob calls a function with the job that a request names, as this process knows it.
-func (c *Core) readJob(request *JobRequest, read func(job *jobs.Job)) error {
-	var err error
+// findQueue returns the queue of a request and the rest of the request's path, by the setup in force; ErrUnavailable before
+// there is a setup, or ErrNoQueue.
+func findQueue(state *jobs.State, request *JobRequest) (queue *mill.Queue, rest string, err error) {
+	if state.Setup() == nil {
+		return nil, "", merry.Prepend(mill.ErrUnavailable, "there is no setup yet", merry.NoCaptureStack())
+	}
 
-	c.stateMachine.view(func(state *jobs.State) {
-		if state.Setup() == nil {
-			err = merry.Prepend(mill.ErrUnavailable, "there is no setup yet", merry.NoCaptureStack())
+	queue, rest, ok := state.SetupIndex().Find(request.Host, request.Path)
+	if !ok {
+		return nil, "", noQueue(request.Path)
+	}
 
-			return
-		}
+	return queue, rest, nil
+}
 
-		queue, id, ok := state.SetupIndex().Find(request.Host, request.Path)
-		if !ok {
-			err = merry.Prepend(mill.ErrNoQueue, request.Path, merry.NoCaptureStack())
+func noQueue(path string) error {
+	return merry.Prepend(mill.ErrNoQueue, path, merry.NoCaptureStack())
+}
+
+// readJob calls a function with the job that a request names, as this process knows it.
+func (c *Core) readJob(request *JobRequest, read func(job *jobs.Job)) (err error) {
+	c.stateMachine.view(func(state *jobs.State) {
+		var (
+			queue   *mill.Queue
+			id      string
+			granted access
+		)
 
+		if queue, id, err = findQueue(state, request); err != nil {
 			return
 		}
 
-		var granted access
 		if granted, err = authenticate(state.SetupIndex(), queue, request.Key); err != nil {
 			return
 		}
@@ -237,19 +250,19 @@
 	return reply, err
 }
 
-func (c *Core) countPending(request *JobRequest, reply *PendingReply) error {
-	var err error
-
+func (c *Core) countPending(request *JobRequest, reply *PendingReply) (err error) {
 	c.stateMachine.view(func(state *jobs.State) {
-		if state.Setup() == nil {
-			err = merry.Prepend(mill.ErrUnavailable, "there is no setup yet", merry.NoCaptureStack())
+		var (
+			queue *mill.Queue
+			rest  string
+		)
 
+		if queue, rest, err = findQueue(state, request); err != nil {
 			return
 		}
 
-		queue, rest, ok := state.SetupIndex().Find(request.Host, request.Path)
-		if !ok || rest != "" {
-			err = merry.Prepend(mill.ErrNoQueue, request.Path, merry.NoCaptureStack())
+		if rest != "" {
+			err = noQueue(request.Path)
 
 			return
 		}
