--- a/internal/cmds/cmd_platform_check_test.go
+++ b/internal/cmds/cmd_platform_check_test.go
@@ -16,24 +16,17 @@
 	"github.com/cranberrymill/cranberrymill/platform"
 )
 
+// document returns the path of a setup as operators send it.
+func document(name string) string {
+	return filepath.Join("..", "..", "platform", "testdata", "check", name+".json")
+}
+
 // TestPlatformCheck expects each kind of result to have its exit code, and JSON that can be read.
 func TestPlatformCheck(t *testing.T) {
-	const queue = `{"name": "a", "host": "h", "path_prefix": "/a/", "service": "s", "timeout_ms": 1, "stretch": 2}`
-
-	folder := t.TempDir()
-	file := func(name, content string) string {
-		path := filepath.Join(folder, name)
-		assert.NilError(t, os.WriteFile(path, []byte(content), 0o600))
-
-		return path
-	}
-
-	fine := file("fine", `{"version": 2, "routes": [`+queue+`], "services": [{"name": "s"}]}`)
-	warns := file("warns", `{"version": 2, "routes": [`+queue+`], "services": [{"name": "s"}, {"name": "t"}]}`)
-	wrong := file("wrong", `{"version": 2, "routes": [`+queue+`]}`)
+	fine, warns, wrong := document("fine"), document("warns"), document("wrong")
 
 	for path, want := range map[string]int{
-		fine: exitOK, warns: exitWarnings, wrong: exitRefused, filepath.Join(folder, "none"): exitUsage,
+		fine: exitOK, warns: exitWarnings, wrong: exitRefused, document("none"): exitUsage,
 	} {
 		assert.Equal(t, reportError(io.Discard, checkSetup(io.Discard, path, "", false)), want, path)
 	}
@@ -51,20 +44,15 @@
 // TestPlatformCheckAgainstProcess expects a core process to be compared with, an error that says why it cannot be, and no
 // key of a tenant in what is printed.
 func TestPlatformCheckAgainstProcess(t *testing.T) {
-	const (
-		before = `{"version": 1, "tenants": [{"name": "a", "api_keys": ["s3cret"]}]}`
-		after  = `{"version": 2, "tenants": [{"name": "a", "api_keys": ["s3cret", "s3cret2"]}]}`
-	)
-
-	file := filepath.Join(t.TempDir(), "after")
-	assert.NilError(t, os.WriteFile(file, []byte(after), 0o600))
+	before, err := os.ReadFile(document("one-key"))
+	assert.NilError(t, err)
 
 	for _, test := range []struct {
 		status       int
 		answer, want string
 		exit         int
 	}{
-		{http.StatusOK, before, "differs: tenant \"a\": Keys 2 (not shown), was 1 (not shown)", exitOK},
+		{http.StatusOK, string(before), "differs: tenant \"a\": Keys 2 (not shown), was 1 (not shown)", exitOK},
 		{http.StatusOK, `{"version": "s3cret"}`, "cannot be read, so it is not compared", exitWarnings},
 		{http.StatusServiceUnavailable, `{"error": "there is no setup yet"}`, "there is no setup yet", exitUsage},
 		{http.StatusServiceUnavailable, `s3cret`, "it gives no reason", exitUsage},
@@ -82,7 +70,7 @@
 
 		var output bytes.Buffer
 
-		exit := reportError(&output, checkSetup(&output, file, server.Listener.Addr().String(), false))
+		exit := reportError(&output, checkSetup(&output, document("two-keys"), server.Listener.Addr().String(), false))
 		assert.Check(t, strings.Contains(output.String(), test.want), "%s", output.String())
 		assert.Check(t, !strings.Contains(output.String(), "s3cret"), "%s", output.String())
 		assert.Equal(t, exit, test.exit, "%s", output.String())
